Run a host on the platform: one decider over a log with conditional appends

Cause: the users' platform offers a store with conditional appends, a list of workers, an adviser and its own callers' wire; the present program speaks none of them.

Change: crates/cell holds decisions, state and recovery of a cell that one decider runs; every host folds the same keyed log, and a claim in it names the decider. crates/node runs a host's event loop and the connections between hosts. platform/ translates, deploy/ says how it is run.

--- /dev/null
+++ b/crates/cell/src/callers.rs
@@ -0,0 +1,172 @@
+//! Calls of callers that wait for the decider's verdict.
+
+use std::collections::BTreeMap;
+use std::sync;
+use std::time;
+
+use pier_core::ids;
+
+use crate::effect::Answer;
+use crate::job::JobSpec;
+use crate::options::Options;
+use crate::peer::{Message, Verdict};
+
+/// How long a call waits for a decider that is not known or not connected. A change of the decider
+/// takes about so long; after it the caller is better off at another host.
+const DECIDER_PATIENCE: time::Duration = time::Duration::from_millis(900);
+
+/// What a call wants from the decider.
+#[derive(Debug, Clone)]
+pub enum Wanted {
+    /// To take a job.
+    Submit(sync::Arc<JobSpec>),
+    /// To cancel a job.
+    Cancel(ids::JobId),
+}
+
+impl Wanted {
+    /// The job in question.
+    pub fn job(&self) -> &ids::JobId {
+        match self {
+            Self::Submit(spec) => &spec.id,
+            Self::Cancel(id) => id,
+        }
+    }
+
+    /// The message to the decider.
+    pub fn to_message(&self, ticket: ids::Ticket) -> Message {
+        match self {
+            Self::Submit(spec) => Message::Submit { ticket, spec: sync::Arc::clone(spec) },
+            Self::Cancel(job) => Message::Cancel { ticket, job: ids::JobId::clone(job) },
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Waiting {
+    wanted: Wanted,
+    arrived_at: time::Duration,
+    answer_by: time::Duration,
+    /// The fencing token of the decider that it was passed to last.
+    passed_to: Option<u64>,
+}
+
+/// The calls that wait.
+#[derive(Debug, Default)]
+pub struct Calls {
+    waiting: BTreeMap<ids::Ticket, Waiting>,
+}
+
+impl Calls {
+    /// Whether no call waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Takes a call.
+    pub fn add(
+        &mut self,
+        now: time::Duration,
+        ticket: ids::Ticket,
+        wanted: Wanted,
+        patience: Option<time::Duration>,
+        options: &Options,
+    ) {
+        let patience = patience.unwrap_or(options.caller_patience);
+        let answer_by = now.saturating_add(patience.saturating_sub(options.answer_margin));
+        let waiting = Waiting { wanted, arrived_at: now, answer_by, passed_to: None };
+        self.waiting.insert(ticket, waiting);
+    }
+
+    /// The calls that the decider with this token has not got yet. They count as passed to it.
+    pub fn pass_to(&mut self, token: u64) -> Vec<(ids::Ticket, Wanted)> {
+        let mut passed = Vec::new();
+        for (ticket, call) in &mut self.waiting {
+            if call.passed_to == Some(token) {
+                continue;
+            }
+            call.passed_to = Some(token);
+            passed.push((*ticket, call.wanted.clone()));
+        }
+        passed
+    }
+
+    /// The connection to the decider is gone: what was passed to it is to be passed again. The
+    /// decider takes a repeat for the same job.
+    pub fn repeat_all(&mut self) {
+        for call in self.waiting.values_mut() {
+            if call.passed_to.is_some() {
+                call.passed_to = Some(0);
+            }
+        }
+    }
+
+    /// Takes the decider's verdict. None when the caller has been answered already.
+    pub fn on_verdict(
+        &mut self,
+        now: time::Duration,
+        ticket: ids::Ticket,
+        verdict: Verdict,
+    ) -> Option<Answer> {
+        let call = self.waiting.remove(&ticket)?;
+        let waited_ms = pier_core::clock::millis(now.saturating_sub(call.arrived_at));
+        tracing::info!(job = %call.wanted.job(), ?verdict, waited_ms, "call answered");
+        Some(match (verdict, call.wanted) {
+            (Verdict::Stored, Wanted::Submit(_)) => Answer::Accepted,
+            (Verdict::Stored, Wanted::Cancel(_)) => Answer::Cancelled,
+            (Verdict::Unknown, _) => Answer::NoJob,
+            (Verdict::Rejected { reason, retry_after_ms }, _) => Answer::Rejected {
+                reason,
+                retry_after: time::Duration::from_millis(retry_after_ms),
+            },
+        })
+    }
+
+    /// The calls that are answered without a verdict: those that can wait no longer and, while no
+    /// decider is at hand, those that no decider has got.
+    pub fn give_up(
+        &mut self,
+        now: time::Duration,
+        has_decider: bool,
+        options: &Options,
+    ) -> Vec<(ids::Ticket, Answer)> {
+        let mut answered = Vec::new();
+        for (ticket, call) in &self.waiting {
+            let was_passed = call.passed_to.is_some();
+            let is_out_of_patience = !has_decider
+                && !was_passed
+                && now >= call.arrived_at.saturating_add(DECIDER_PATIENCE);
+            if now < call.answer_by && !is_out_of_patience {
+                continue;
+            }
+            // What a decider may have got may be stored, so it is not a rejection.
+            let answer = if was_passed {
+                Answer::Unsure
+            } else {
+                Answer::Rejected {
+                    reason: "no decider is known".to_owned(),
+                    retry_after: options.retry_after,
+                }
+            };
+            let waited_ms = pier_core::clock::millis(now.saturating_sub(call.arrived_at));
+            tracing::warn!(job = %call.wanted.job(), ?answer, waited_ms, "call given up");
+            answered.push((*ticket, answer));
+        }
+        for (ticket, _) in &answered {
+            self.waiting.remove(ticket);
+        }
+        answered
+    }
+
+    /// When the next call is given up at the latest.
+    pub fn due_at(&self, has_decider: bool) -> time::Duration {
+        let mut due_at = time::Duration::MAX;
+        for call in self.waiting.values() {
+            due_at = due_at.min(call.answer_by);
+            if !has_decider && call.passed_to.is_none() {
+                due_at = due_at.min(call.arrived_at.saturating_add(DECIDER_PATIENCE));
+            }
+        }
+        due_at
+    }
+}
--- /dev/null
+++ b/crates/cell/src/decider/intake.rs
@@ -0,0 +1,104 @@
+//! Submissions and cancellations.
+
+use std::sync;
+use std::time;
+
+use pier_core::ids;
+use pier_core::resources::Resources;
+
+use crate::decider::{Context, Decider, Origin};
+use crate::job::{JobSpec, JobState};
+use crate::ledger::LiveJob;
+use crate::peer::Verdict;
+use crate::progress::Progress;
+
+/// Submissions are rejected when nothing was stored for so long: callers should not wait for a log
+/// that is away.
+const LOG_PATIENCE: time::Duration = time::Duration::from_millis(1_200);
+/// When to come back if no worker is large enough: workers are added and replaced in seconds.
+const RETRY_TOO_LARGE: time::Duration = time::Duration::from_secs(5);
+
+impl Decider {
+    /// Takes a submission. The verdict comes when it is stored.
+    pub fn on_submit(
+        &mut self,
+        context: &mut Context<'_>,
+        origin: Origin,
+        spec: sync::Arc<JobSpec>,
+    ) {
+        let id = ids::JobId::clone(&spec.id);
+        let is_known =
+            context.ledger.live.contains_key(&id) || context.ledger.ended.contains_key(&id);
+        if is_known {
+            self.reply_when_stored(context, &id, origin);
+            return;
+        }
+        if let Some((reason, retry_after)) = self.reason_to_reject(context, &spec) {
+            tracing::info!(job = %id, queue = %spec.queue, reason, waiting = context.ledger.live.len(),
+                "job rejected");
+            let retry_after_ms = pier_core::clock::millis(retry_after);
+            let verdict = Verdict::Rejected { reason: reason.to_owned(), retry_after_ms };
+            self.reply(context, origin, verdict);
+            return;
+        }
+        tracing::info!(job = %id, queue = %spec.queue, account = spec.account.as_deref(),
+            steps = spec.steps.len(), version = context.directory.version, "job taken");
+        let progress = Progress::new(&spec);
+        let job = LiveJob { accepted_wall_ms: context.wall_ms, spec, progress };
+        context.ledger.live.insert(ids::JobId::clone(&id), job);
+        self.accepted.insert(ids::JobId::clone(&id));
+        self.dirty.insert(id);
+        self.replies.push((origin, Verdict::Stored));
+    }
+
+    fn reason_to_reject(
+        &self,
+        context: &Context<'_>,
+        spec: &JobSpec,
+    ) -> Option<(&'static str, time::Duration)> {
+        if context.now > self.last_stored_at.saturating_add(LOG_PATIENCE) {
+            return Some(("the log is not available", context.options.retry_after));
+        }
+        if context.ledger.live.len() >= context.options.most_waiting {
+            return Some(("too many jobs wait", context.options.retry_after));
+        }
+        if !self.has_worker_list {
+            return None;
+        }
+        let service = context.directory.queue(&spec.queue).map(|queue| &queue.service);
+        let mut largest = Resources::ZERO;
+        for worker in self.workers.values() {
+            if Some(&worker.entry.service) == service {
+                largest = largest.max(&worker.entry.capacity);
+            }
+        }
+        let fits = spec.steps.iter().all(|step| step.need.fits_in(&largest));
+        (!fits).then_some(("no worker is large enough", RETRY_TOO_LARGE))
+    }
+
+    /// Cancels a job. The verdict comes when that is stored.
+    pub fn on_cancel(&mut self, context: &mut Context<'_>, origin: Origin, id: &ids::JobId) {
+        if context.ledger.live.contains_key(id) {
+            self.set_verdict(context, id, JobState::Cancelled);
+            self.reply_when_stored(context, id, origin);
+            return;
+        }
+        let verdict =
+            if context.ledger.ended.contains_key(id) { Verdict::Stored } else { Verdict::Unknown };
+        self.reply(context, origin, verdict);
+    }
+
+    fn reply_when_stored(&mut self, context: &mut Context<'_>, id: &ids::JobId, origin: Origin) {
+        if self.dirty.contains(id) {
+            self.replies.push((origin, Verdict::Stored));
+            return;
+        }
+        if let Some(append) = &mut self.in_flight
+            && append.jobs.contains(id)
+        {
+            append.replies.push((origin, Verdict::Stored));
+            return;
+        }
+        self.reply(context, origin, Verdict::Stored);
+    }
+}
--- /dev/null
+++ b/crates/cell/src/decider/looks.rs
@@ -0,0 +1,265 @@
+//! Looks at workers: they extend the leases and tell what runs and what has ended.
+
+use std::time;
+
+use pier_core::ids;
+use pier_core::map::Set;
+
+use crate::decider::{Context, Decider};
+use crate::effect::Effect;
+use crate::event::{ListedEnd, ListedRun, LookAnswer};
+use crate::job::TaskRef;
+use crate::run::RunPhase;
+use crate::worker::{Life, Worker};
+
+/// The pause between looks while a run's fate is open.
+const OPEN_RUN_PAUSE: time::Duration = time::Duration::from_millis(100);
+/// A worker lists at most so many ends at once, so a run that is missing may be among the others.
+const MOST_LISTED_ENDS: usize = 500;
+/// After so many failed looks no lease is extended any more, so that it is known when they end.
+const LOOKS_WITH_LEASE: u32 = 2;
+/// The most pauses that are added up after failed looks.
+const MOST_PAUSES: u32 = 4;
+
+impl Decider {
+    /// Sends the looks that are due.
+    pub(super) fn send_looks(&mut self, context: &mut Context<'_>) {
+        let has_log =
+            context.now <= self.last_stored_at.saturating_add(context.options.extend_without_log);
+        for worker in self.workers.values_mut() {
+            let is_wanted = !worker.runs.is_empty() || (worker.is_listed && !worker.is_contacted);
+            if !is_wanted
+                || worker.look_sent_at.is_some()
+                || context.now < worker.look_due_at
+                || worker.entry.address.is_empty()
+                || worker.ends_read > worker.ends_stored
+            {
+                continue;
+            }
+            let is_open = worker.runs.iter().any(|task| is_fate_open(self.runs.get(task)));
+            let wait = if is_open || !worker.is_contacted {
+                time::Duration::ZERO
+            } else {
+                context.options.look_wait
+            };
+            let lease_until_ms = if has_log && worker.failed_looks < LOOKS_WITH_LEASE {
+                worker.lease_until_ms(context.now, context.options)
+            } else {
+                None
+            };
+            worker.look_sent_at = Some(context.now);
+            context.effects.push(Effect::Look {
+                target: crate::effect::Target {
+                    worker: ids::WorkerId::clone(&worker.entry.id),
+                    address: std::sync::Arc::clone(&worker.entry.address),
+                    token: self.token,
+                },
+                sent_at: context.now,
+                ends_stored: worker.ends_stored,
+                lease_until_ms,
+                wait,
+                timeout: context.options.order_timeout,
+            });
+        }
+    }
+
+    /// Takes the answer to a look.
+    pub fn on_look_answered(
+        &mut self,
+        context: &mut Context<'_>,
+        id: &ids::WorkerId,
+        sent_at: time::Duration,
+        answer: LookAnswer,
+    ) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if worker.look_sent_at == Some(sent_at) {
+            worker.look_sent_at = None;
+        }
+        match answer {
+            LookAnswer::Fenced => {
+                self.deposed = Some("a worker has heard from a later decider");
+            }
+            LookAnswer::NoAnswer => {
+                worker.failed_looks = worker.failed_looks.saturating_add(1);
+                let pauses = worker.failed_looks.min(MOST_PAUSES);
+                worker.look_due_at =
+                    context.now.saturating_add(context.options.look_retry * pauses);
+                if worker.failed_looks == 1 {
+                    tracing::warn!(worker = %id, runs = worker.runs.len(), "worker lost");
+                }
+            }
+            LookAnswer::Report { clock_ms, life, running, ended } => {
+                self.on_report(context, id, sent_at, clock_ms, life, &running, &ended);
+            }
+        }
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the fields of one report")]
+    fn on_report(
+        &mut self,
+        context: &mut Context<'_>,
+        id: &ids::WorkerId,
+        sent_at: time::Duration,
+        clock_ms: u64,
+        life: Option<Life>,
+        running: &[ListedRun],
+        ended: &[ListedEnd],
+    ) {
+        let is_other_life = match (self.workers.get(id), life) {
+            (Some(worker), Some(life)) => worker.entry.life != life,
+            _ => false,
+        };
+        if is_other_life {
+            let life = life.unwrap_or_default();
+            self.end_life(context, id, life);
+            if let Some(worker) = self.workers.get_mut(id) {
+                let entry = crate::worker::Entry { life, ..worker.entry.clone() };
+                worker.begin_life(entry);
+            }
+        }
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if worker.failed_looks > 0 {
+            tracing::info!(worker = %id, "worker regained");
+        }
+        worker.failed_looks = 0;
+        worker.is_contacted = true;
+        worker.look_due_at = context.now;
+        worker.note_clock(context.now, clock_ms);
+        let ends_read = worker.ends_read;
+        let mut newest = ends_read;
+        for end in ended {
+            if end.sequence <= ends_read {
+                continue;
+            }
+            newest = newest.max(end.sequence);
+            self.on_end(context, id, end);
+        }
+        self.check_listed_runs(context, id, running);
+        if ended.len() < MOST_LISTED_ENDS {
+            self.check_missing_runs(context, id, sent_at, running);
+        }
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.ends_read = newest;
+        if newest > ends_read {
+            self.ends.push((ids::WorkerId::clone(id), worker.entry.life, newest));
+        }
+        if worker.runs.iter().any(|task| is_fate_open(self.runs.get(task))) {
+            worker.look_due_at = context.now.saturating_add(OPEN_RUN_PAUSE);
+        }
+    }
+
+    fn check_listed_runs(
+        &mut self,
+        context: &mut Context<'_>,
+        id: &ids::WorkerId,
+        running: &[ListedRun],
+    ) {
+        for listed in running {
+            let is_current = self
+                .runs
+                .get(&listed.task)
+                .is_some_and(|run| run.number == listed.number && run.worker == *id);
+            if !is_current {
+                self.stop_stray(context, id, listed);
+                continue;
+            }
+            if let Some(run) = self.runs.get_mut(&listed.task)
+                && matches!(run.phase, RunPhase::Unknown { .. })
+            {
+                run.phase = RunPhase::Running { since: context.now };
+            }
+            let Some(job) = context.ledger.live.get_mut(&listed.task.job) else {
+                continue;
+            };
+            let is_gang = job.spec.steps[listed.task.step].gang;
+            let keeper = if is_gang { 0 } else { listed.task.index };
+            let kept = &mut job.progress.steps[listed.task.step][keeper];
+            if listed.checkpoint.is_some() {
+                // It goes to the log with the job's next record.
+                kept.checkpoint.clone_from(&listed.checkpoint);
+            }
+        }
+    }
+
+    fn stop_stray(&mut self, context: &mut Context<'_>, id: &ids::WorkerId, listed: &ListedRun) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        tracing::warn!(job = %listed.task.job, step = listed.task.step, task = listed.task.index,
+            run = listed.number, worker = %id, "stopping a run that is not in the ledger");
+        context.effects.push(Effect::Stop {
+            target: self.target(worker),
+            task: listed.task.clone(),
+            number: listed.number,
+            timeout: context.options.order_timeout,
+        });
+    }
+
+    fn check_missing_runs(
+        &mut self,
+        context: &mut Context<'_>,
+        id: &ids::WorkerId,
+        sent_at: time::Duration,
+        running: &[ListedRun],
+    ) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let listed: Set<&TaskRef> = running.iter().map(|run| &run.task).collect();
+        let mut lost = Vec::new();
+        let mut late = Vec::new();
+        for task in &worker.runs {
+            if listed.contains(task) {
+                continue;
+            }
+            match self.runs.get(task).map(|run| run.phase) {
+                Some(RunPhase::Running { since } | RunPhase::Stopped { since })
+                    if sent_at > since =>
+                {
+                    lost.push(task.clone());
+                }
+                Some(RunPhase::Unknown { is_fenced: true, .. }) => lost.push(task.clone()),
+                Some(RunPhase::Unknown { since, is_fenced: false }) if sent_at > since => {
+                    late.push(task.clone());
+                }
+                _ => {}
+            }
+        }
+        for task in lost {
+            self.lose_run(context, &task, "the worker does not list it");
+        }
+        // The order may still be under way; a stop bars it.
+        for task in late {
+            self.stop_run(&task);
+        }
+    }
+
+    /// Gives up the runs of workers whose leases have certainly ended.
+    pub(super) fn settle_leases(&mut self, context: &mut Context<'_>) {
+        let mut lapsed: Vec<TaskRef> = Vec::new();
+        for worker in self.workers.values() {
+            let is_silent = worker.failed_looks > 0 || worker.entry.address.is_empty();
+            if is_silent && context.now > worker.leases_end_at {
+                lapsed.extend(worker.runs.iter().cloned());
+            }
+        }
+        for task in lapsed {
+            let is_sent = self.runs.get(&task).is_some_and(|run| run.phase != RunPhase::Recording);
+            if is_sent {
+                self.lose_run(context, &task, "the lease has ended");
+            }
+        }
+        self.workers.retain(|_, worker: &mut Worker| worker.is_listed || !worker.runs.is_empty());
+    }
+}
+
+/// Whether only the next look tells if the run is alive.
+fn is_fate_open(run: Option<&crate::run::Run>) -> bool {
+    run.is_some_and(|run| matches!(run.phase, RunPhase::Unknown { .. } | RunPhase::Stopped { .. }))
+}
--- /dev/null
+++ b/crates/cell/src/host/calls.rs
@@ -0,0 +1,174 @@
+//! Calls of callers at this host.
+
+use std::sync;
+use std::time;
+
+use pier_core::ids;
+
+use crate::callers::Wanted;
+use crate::decider::Origin;
+use crate::directory::Queue;
+use crate::effect::{Answer, Effect};
+use crate::event::{Ask, Call};
+use crate::host::{DISCONNECTED_READY, Host, Role, VIEW_FRESHNESS};
+use crate::job::{AccountId, JobState};
+
+impl Host {
+    /// Whether the load balancer is to send callers here.
+    pub(super) fn may_take_callers(&self, now: time::Duration) -> bool {
+        let has_decider =
+            self.has_decider() || now <= self.disconnected_at.saturating_add(DISCONNECTED_READY);
+        !self.is_stopping
+            && self.directory.version > 0
+            && self.is_fresh(now, self.operators.as_of(), self.options.key_freshness())
+            && self.ledger.decider.is_some()
+            && has_decider
+            && (self.is_decider() || self.is_fresh(now, self.cell.as_of(), VIEW_FRESHNESS))
+    }
+
+    fn is_fresh(
+        &self,
+        now: time::Duration,
+        as_of: Option<time::Duration>,
+        bound: time::Duration,
+    ) -> bool {
+        as_of.is_some_and(|as_of| now <= as_of.saturating_add(bound))
+    }
+
+    /// Takes a call.
+    pub(super) fn on_call(
+        &mut self,
+        now: time::Duration,
+        wall_ms: u64,
+        ticket: ids::Ticket,
+        call: Call,
+        out: &mut Vec<Effect>,
+    ) {
+        match self.admit(now, &call) {
+            Ok((queue, account, id)) => {
+                let answer = self.begin_call(now, ticket, call, queue, account, &id);
+                if let Some(answer) = answer {
+                    out.push(Effect::Answer { ticket, answer });
+                } else {
+                    self.pass_calls(now, wall_ms, out);
+                }
+            }
+            Err(answer) => {
+                if !matches!(answer, Answer::NoQueue) {
+                    tracing::info!(path = %call.path, ?answer, version = self.directory.version,
+                        "call rejected");
+                }
+                out.push(Effect::Answer { ticket, answer });
+            }
+        }
+    }
+
+    /// The queue and the account of a call, and the job's id, which is empty for the queue itself.
+    fn admit(
+        &self,
+        now: time::Duration,
+        call: &Call,
+    ) -> Result<(ids::QueueId, Option<AccountId>, String), Answer> {
+        if self.directory.version == 0 {
+            return Err(self.reject("no declaration is known"));
+        }
+        // Without a recent view of the declaration a revoked key could still be taken.
+        if !self.is_fresh(now, self.operators.as_of(), self.options.key_freshness()) {
+            return Err(self.reject("the declaration is too old"));
+        }
+        let queue = self.directory.route(&call.host, &call.path).ok_or(Answer::NoQueue)?;
+        let account = self.account(queue, call)?;
+        let id = call.path.strip_prefix(&*queue.path_prefix).unwrap_or_default().to_owned();
+        Ok((ids::QueueId::clone(&queue.name), account, id))
+    }
+
+    fn account(&self, queue: &Queue, call: &Call) -> Result<Option<AccountId>, Answer> {
+        if queue.is_open {
+            return Ok(None);
+        }
+        let key = call.key.as_deref().ok_or(Answer::UnknownKey)?;
+        let account = self.directory.account_of(key).ok_or(Answer::UnknownKey)?;
+        Ok(Some(AccountId::clone(&account.name)))
+    }
+
+    fn reject(&self, reason: &str) -> Answer {
+        Answer::Rejected { reason: reason.to_owned(), retry_after: self.options.retry_after }
+    }
+
+    /// Answers a call from what the host knows, or keeps it for the decider.
+    fn begin_call(
+        &mut self,
+        now: time::Duration,
+        ticket: ids::Ticket,
+        call: Call,
+        queue: ids::QueueId,
+        account: Option<AccountId>,
+        id: &str,
+    ) -> Option<Answer> {
+        let is_view_fresh =
+            self.is_decider() || self.is_fresh(now, self.cell.as_of(), VIEW_FRESHNESS);
+        match call.ask {
+            Ask::Show if id.is_empty() => Some(if is_view_fresh {
+                Answer::Pending(self.ledger.pending(&queue))
+            } else {
+                self.reject("the view of the jobs is too old")
+            }),
+            _ if id.is_empty() => Some(Answer::Invalid("the path names no job".to_owned())),
+            Ask::Show => Some(match self.shown_state(id) {
+                Some(state) => Answer::State(state),
+                None if is_view_fresh => Answer::NoJob,
+                None => self.reject("the view of the jobs is too old"),
+            }),
+            Ask::Cancel => {
+                let wanted = Wanted::Cancel(ids::JobId::from(id));
+                self.calls.add(now, ticket, wanted, call.patience, &self.options);
+                None
+            }
+            Ask::Submit(Err(invalid)) => Some(Answer::Invalid(invalid.reason)),
+            Ask::Submit(Ok(mut spec)) => {
+                spec.id = ids::JobId::from(id);
+                spec.queue = queue;
+                spec.account = account;
+                let wanted = Wanted::Submit(sync::Arc::new(*spec));
+                self.calls.add(now, ticket, wanted, call.patience, &self.options);
+                None
+            }
+        }
+    }
+
+    /// The job's state as far as it is stored.
+    fn shown_state(&self, id: &str) -> Option<JobState> {
+        let state = self.ledger.state_of(id)?;
+        match &self.role {
+            Role::Deciding(decider) if state.is_final() && !decider.is_stored(id) => {
+                Some(JobState::Running)
+            }
+            _ => Some(state),
+        }
+    }
+
+    /// Passes waiting calls to the decider.
+    pub(super) fn pass_calls(&mut self, now: time::Duration, wall_ms: u64, out: &mut Vec<Effect>) {
+        if let Role::Deciding(decider) = &self.role {
+            let token = decider.token();
+            for (ticket, wanted) in self.calls.pass_to(token) {
+                let origin = Origin::Local(ticket);
+                self.with_decider(now, wall_ms, out, |decider, context| match wanted {
+                    Wanted::Submit(spec) => decider.on_submit(context, origin, spec),
+                    Wanted::Cancel(id) => decider.on_cancel(context, origin, &id),
+                });
+            }
+            return;
+        }
+        let Some(token) = self.decider_token() else {
+            return;
+        };
+        let Some(to) = self.connected_to.clone() else {
+            return;
+        };
+        for (ticket, wanted) in self.calls.pass_to(token) {
+            let message = wanted.to_message(ticket);
+            out.push(Effect::Send { to: ids::HostId::clone(&to), message });
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/host/mod.rs
@@ -0,0 +1,409 @@
+//! A host: it serves callers, follows the cell's log and decides when its claim stands.
+
+use std::collections::BTreeSet;
+use std::sync;
+use std::time;
+
+use pier_core::ids;
+
+use crate::callers::Calls;
+use crate::decider::{Context, Decider, Origin};
+use crate::directory::Directory;
+use crate::effect::Effect;
+use crate::event::{Event, OperatorRecord, ReadAnswer, WorkerRecord};
+use crate::follow::{Follower, Learned, ReadError, Topic};
+use crate::ledger::Ledger;
+use crate::options::Options;
+use crate::peer::Message;
+use crate::record::{Batch, Claim, Record};
+
+mod calls;
+mod claim;
+
+/// How long the decider's connection may be away before the host takes no new callers. A change of
+/// the decider is over by then.
+const DISCONNECTED_READY: time::Duration = time::Duration::from_millis(1_800);
+/// How old the view of the jobs may be for the host to tell that a job does not exist.
+const VIEW_FRESHNESS: time::Duration = time::Duration::from_millis(2_500);
+/// The longest time between two looks at the clock.
+const LONGEST_SLEEP: time::Duration = time::Duration::from_millis(200);
+
+/// Who a host is.
+#[derive(Debug, Clone)]
+pub struct Member {
+    /// Its id.
+    pub host: ids::HostId,
+    /// Where it takes connections of other hosts.
+    pub address: sync::Arc<str>,
+    /// Its process.
+    pub incarnation: ids::Incarnation,
+}
+
+impl Member {
+    /// The record that claims the decider's place, or gives it up.
+    fn to_claim(&self, is_released: bool) -> Claim {
+        Claim {
+            host: ids::HostId::clone(&self.host),
+            address: sync::Arc::clone(&self.address),
+            incarnation: self.incarnation,
+            is_released,
+        }
+    }
+}
+
+#[derive(Debug)]
+enum Role {
+    /// Another host decides, or none.
+    Following,
+    /// The host's claim is under way.
+    Claiming {
+        ticket: ids::Ticket,
+        at: ids::Offset,
+    },
+    Deciding(Box<Decider>),
+}
+
+/// The state of a host.
+#[derive(Debug)]
+pub struct Host {
+    options: Options,
+    me: Member,
+    cell: Follower<Record>,
+    operators: Follower<OperatorRecord>,
+    workers: Follower<WorkerRecord>,
+    ledger: Ledger,
+    directory: sync::Arc<Directory>,
+    zones_out: BTreeSet<ids::ZoneId>,
+    role: Role,
+    calls: Calls,
+    next_ticket: ids::Ticket,
+    /// When the log last had a record of a living decider.
+    heard_at: time::Duration,
+    connected_to: Option<ids::HostId>,
+    wanted_connection: Option<(ids::HostId, sync::Arc<str>)>,
+    disconnected_at: time::Duration,
+    is_ready: bool,
+    is_stopping: bool,
+}
+
+impl Host {
+    /// A host that has just started.
+    pub fn new(me: Member, options: Options) -> Self {
+        tracing::info!(host = %me.host, address = %me.address, incarnation = me.incarnation,
+            "host starts");
+        Self {
+            cell: Follower::new(options.follow_gap),
+            operators: Follower::new(time::Duration::ZERO),
+            workers: Follower::new(options.list_gap),
+            ledger: Ledger::default(),
+            directory: sync::Arc::default(),
+            zones_out: BTreeSet::new(),
+            role: Role::Following,
+            calls: Calls::default(),
+            next_ticket: 0,
+            heard_at: time::Duration::ZERO,
+            connected_to: None,
+            wanted_connection: None,
+            disconnected_at: time::Duration::ZERO,
+            is_ready: false,
+            is_stopping: false,
+            options,
+            me,
+        }
+    }
+
+    /// Whether this host decides.
+    pub fn is_decider(&self) -> bool {
+        matches!(self.role, Role::Deciding(_))
+    }
+
+    /// Whether the host may end: it was told to, and no caller waits.
+    pub fn is_finished(&self) -> bool {
+        self.is_stopping && self.calls.is_empty() && !self.is_decider()
+    }
+
+    /// Takes other times and limits.
+    pub fn set_options(&mut self, options: Options) {
+        self.options = options;
+    }
+
+    /// Takes what happened at `now` and returns what is to be done.
+    pub fn apply(&mut self, now: time::Duration, wall_ms: u64, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let is_news = !matches!(event, Event::Tick | Event::Cell(_) | Event::Operators(_));
+        self.take(now, wall_ms, event, &mut effects);
+        if let Role::Deciding(decider) = &mut self.role
+            && is_news
+        {
+            decider.note_news();
+        }
+        self.advance(now, wall_ms, &mut effects);
+        effects
+    }
+
+    /// How long nothing is due if nothing happens.
+    pub fn sleep(&self, now: time::Duration) -> time::Duration {
+        let mut due_at = now.saturating_add(LONGEST_SLEEP);
+        due_at = due_at.min(self.calls.due_at(self.has_decider()));
+        due_at = due_at.min(self.operators.due_at().unwrap_or(due_at));
+        match &self.role {
+            Role::Deciding(decider) => {
+                due_at = due_at.min(decider.due_at(&self.options));
+                due_at = due_at.min(self.workers.due_at().unwrap_or(due_at));
+            }
+            _ => due_at = due_at.min(self.cell.due_at().unwrap_or(due_at)),
+        }
+        due_at.saturating_sub(now)
+    }
+
+    fn take(&mut self, now: time::Duration, wall_ms: u64, event: Event, out: &mut Vec<Effect>) {
+        match event {
+            Event::Tick => {}
+            Event::Cell(answer) => self.on_cell(now, wall_ms, answer, out),
+            Event::Operators(answer) => self.on_operators(now, answer),
+            Event::Workers(answer) => self.on_workers(now, wall_ms, answer, out),
+            Event::Called { ticket, call } => self.on_call(now, wall_ms, ticket, *call, out),
+            Event::Shutdown => self.on_shutdown(),
+            Event::PeerGone { host } => self.on_peer_gone(now, wall_ms, &host, out),
+            Event::Peer { from, message } => self.on_peer(now, wall_ms, from, message, out),
+            Event::Appended { ticket, answer } if !self.is_decider() => {
+                self.on_claim_answered(now, wall_ms, ticket, answer, out);
+            }
+            Event::Advised { ticket, answer } if !self.is_decider() => {
+                // The decider had this host ask.
+                if let Some(to) = self.connected_to.clone() {
+                    out.push(Effect::Send { to, message: Message::Advice { ticket, answer } });
+                }
+            }
+            event => self.with_decider(now, wall_ms, out, |decider, context| match event {
+                Event::Appended { ticket, answer } => decider.on_appended(context, ticket, answer),
+                Event::StartAnswered { task, number, answer, .. } => {
+                    decider.on_start_answered(context, &task, number, answer);
+                }
+                Event::StopAnswered { task, number, is_acknowledged, .. } => {
+                    decider.on_stop_answered(context, &task, number, is_acknowledged);
+                }
+                Event::LookAnswered { worker, sent_at, answer } => {
+                    decider.on_look_answered(context, &worker, sent_at, answer);
+                }
+                Event::Advised { ticket, answer } => {
+                    decider.on_advice(context, ticket, answer.as_ref());
+                }
+                _ => {}
+            }),
+        }
+    }
+
+    /// Runs a part of the decider, if this host decides.
+    fn with_decider(
+        &mut self,
+        now: time::Duration,
+        wall_ms: u64,
+        effects: &mut Vec<Effect>,
+        act: impl FnOnce(&mut Decider, &mut Context<'_>),
+    ) {
+        let Role::Deciding(decider) = &mut self.role else {
+            return;
+        };
+        let mut context = Context {
+            now,
+            wall_ms,
+            options: &self.options,
+            directory: &self.directory,
+            zones_out: &self.zones_out,
+            ledger: &mut self.ledger,
+            effects,
+        };
+        act(decider, &mut context);
+        let verdicts = decider.take_local_verdicts();
+        let deposed = decider.deposed();
+        for (ticket, verdict) in verdicts {
+            if let Some(answer) = self.calls.on_verdict(now, ticket, verdict) {
+                effects.push(Effect::Answer { ticket, answer });
+            }
+        }
+        if let Some(reason) = deposed {
+            self.step_down(now, reason);
+        }
+    }
+
+    fn advance(&mut self, now: time::Duration, wall_ms: u64, out: &mut Vec<Effect>) {
+        self.claim_if_due(now, out);
+        self.with_decider(now, wall_ms, out, |decider, context| decider.advance(context));
+        let timeout = self.options.log_timeout;
+        if let Some(read) = self.operators.poll(now, &self.options) {
+            out.push(Effect::Read { topic: Topic::Operators, read, timeout });
+        }
+        if self.is_decider() {
+            if let Some(read) = self.workers.poll(now, &self.options) {
+                out.push(Effect::Read { topic: Topic::Workers, read, timeout });
+            }
+        } else if let Some(read) = self.cell.poll(now, &self.options) {
+            out.push(Effect::Read { topic: Topic::Cell, read, timeout });
+        }
+        self.connect(out);
+        self.pass_calls(now, wall_ms, out);
+        for (ticket, answer) in self.calls.give_up(now, self.has_decider(), &self.options) {
+            out.push(Effect::Answer { ticket, answer });
+        }
+        let is_ready = self.may_take_callers(now);
+        if is_ready != self.is_ready {
+            self.is_ready = is_ready;
+            tracing::info!(is_ready, is_decider = self.is_decider(), "readiness changed");
+            out.push(Effect::Ready(is_ready));
+        }
+    }
+
+    fn on_cell(
+        &mut self,
+        now: time::Duration,
+        wall_ms: u64,
+        answer: ReadAnswer<Record>,
+        out: &mut Vec<Effect>,
+    ) {
+        if self.is_decider() {
+            // Only an append of unknown fate makes a decider read its own log.
+            self.with_decider(now, wall_ms, out, |decider, context| match &answer {
+                ReadAnswer::Stretch(stretch) => {
+                    decider.on_resolved(context, Some(&stretch.records));
+                }
+                _ => decider.on_resolved(context, None),
+            });
+            return;
+        }
+        let Some(learned) = taken(&mut self.cell, Topic::Cell, now, answer, &self.options) else {
+            return;
+        };
+        if learned.is_restart {
+            self.ledger = Ledger::default();
+            self.heard_at = now;
+        }
+        if !learned.records.is_empty() {
+            self.heard_at = now;
+        }
+        for (offset, record) in &learned.records {
+            self.ledger.fold(*offset, record);
+        }
+        if learned.is_at_tail {
+            self.begin_if_claimed(now, wall_ms, out);
+        }
+    }
+
+    fn on_operators(&mut self, now: time::Duration, answer: ReadAnswer<OperatorRecord>) {
+        let Some(learned) =
+            taken(&mut self.operators, Topic::Operators, now, answer, &self.options)
+        else {
+            return;
+        };
+        if learned.is_restart {
+            self.zones_out.clear();
+        }
+        for (offset, record) in learned.records {
+            match record {
+                OperatorRecord::Directory(directory) => {
+                    if directory.version > self.directory.version {
+                        tracing::info!(version = directory.version, offset, "declaration in force");
+                        self.directory = directory;
+                    }
+                }
+                OperatorRecord::ZoneOut { zone, is_out } => {
+                    tracing::info!(%zone, is_out, offset, "zone changed");
+                    if is_out {
+                        self.zones_out.insert(zone);
+                    } else {
+                        self.zones_out.remove(&zone);
+                    }
+                }
+                OperatorRecord::Other => {}
+            }
+        }
+    }
+
+    fn on_workers(
+        &mut self,
+        now: time::Duration,
+        wall_ms: u64,
+        answer: ReadAnswer<WorkerRecord>,
+        out: &mut Vec<Effect>,
+    ) {
+        let learned = taken(&mut self.workers, Topic::Workers, now, answer, &self.options);
+        if let Some(learned) = learned {
+            self.with_decider(now, wall_ms, out, |decider, context| {
+                decider.on_workers(context, learned);
+            });
+        }
+    }
+
+    fn on_peer(
+        &mut self,
+        now: time::Duration,
+        wall_ms: u64,
+        from: ids::HostId,
+        message: Message,
+        out: &mut Vec<Effect>,
+    ) {
+        match message {
+            Message::Alive => {}
+            Message::Hello { host } => {
+                if self.wanted_connection.as_ref().is_some_and(|(decider, _)| *decider == host) {
+                    tracing::info!(decider = %host, "connected to the decider");
+                    self.connected_to = Some(ids::HostId::clone(&host));
+                }
+                self.with_decider(now, wall_ms, out, |decider, _| decider.on_peer(&host));
+            }
+            Message::Verdict { ticket, verdict } => {
+                if let Some(answer) = self.calls.on_verdict(now, ticket, verdict) {
+                    out.push(Effect::Answer { ticket, answer });
+                }
+            }
+            Message::AskAdviser { question } => out.push(Effect::Advise(question)),
+            Message::Submit { ticket, spec } => {
+                self.with_decider(now, wall_ms, out, |decider, context| {
+                    decider.on_submit(context, Origin::Remote(from, ticket), spec);
+                });
+            }
+            Message::Cancel { ticket, job } => {
+                self.with_decider(now, wall_ms, out, |decider, context| {
+                    decider.on_cancel(context, Origin::Remote(from, ticket), &job);
+                });
+            }
+            Message::Advice { ticket, answer } => {
+                self.with_decider(now, wall_ms, out, |decider, context| {
+                    decider.on_advice(context, ticket, answer.as_ref());
+                });
+            }
+        }
+    }
+
+    fn ticket(&mut self) -> ids::Ticket {
+        self.next_ticket += 1;
+        self.next_ticket
+    }
+}
+
+/// Gives an answer of the log to its follower.
+fn taken<T>(
+    follower: &mut Follower<T>,
+    topic: Topic,
+    now: time::Duration,
+    answer: ReadAnswer<T>,
+    options: &Options,
+) -> Option<Learned<T>> {
+    match answer {
+        ReadAnswer::Page(page) => follower.on_page(topic, page),
+        ReadAnswer::Stretch(stretch) => follower.on_stretch(topic, now, stretch),
+        ReadAnswer::Failed(error) => {
+            follower.on_failed(topic, now, error, options);
+            if error == ReadError::Trimmed {
+                tracing::debug!(%topic, "beginning anew");
+            }
+            None
+        }
+    }
+}
+
+/// The records of a claim.
+fn claim_records(me: &Member, sequence: ids::Ticket) -> sync::Arc<Vec<Record>> {
+    let batch = Batch { incarnation: me.incarnation, sequence };
+    sync::Arc::new(vec![Record::batch(&batch), Record::claim(&me.to_claim(false))])
+}
--- /dev/null
+++ b/crates/cell/src/ledger.rs
@@ -0,0 +1,114 @@
+//! The fold of the cell's log: the decider and every job.
+
+use std::collections::BTreeMap;
+use std::sync;
+
+use pier_core::ids;
+
+use crate::job::{JobSpec, JobState};
+use crate::progress::Progress;
+use crate::record::{Change, Claim, JobRecord, Record};
+
+/// A job that has not ended for good.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LiveJob {
+    /// Milliseconds since the Unix epoch at which it was accepted.
+    pub accepted_wall_ms: u64,
+    /// What was submitted.
+    pub spec: sync::Arc<JobSpec>,
+    /// How far it has come.
+    pub progress: Progress,
+}
+
+/// A job of which nothing runs any more.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndedJob {
+    /// The queue that it was in.
+    pub queue: ids::QueueId,
+    /// How it ended.
+    pub state: JobState,
+    /// Milliseconds since the Unix epoch at which it ended.
+    pub ended_wall_ms: u64,
+}
+
+/// A claim together with its position.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlacedClaim {
+    /// The claim.
+    pub claim: Claim,
+    /// The fencing token that follows from the claim's offset. It is at least one.
+    pub token: u64,
+}
+
+/// The state that the log gives.
+#[derive(Debug, Clone, Default)]
+pub struct Ledger {
+    /// Who decides.
+    pub decider: Option<PlacedClaim>,
+    /// The jobs that may still have work.
+    pub live: BTreeMap<ids::JobId, LiveJob>,
+    /// The jobs that have ended and are still remembered.
+    pub ended: BTreeMap<ids::JobId, EndedJob>,
+}
+
+impl Ledger {
+    /// Applies the record at `offset`. Records may be applied again.
+    pub fn fold(&mut self, offset: ids::Offset, record: &Record) {
+        match record.to_change() {
+            Ok(Some(change)) => self.fold_change(offset, change),
+            Ok(None) => {}
+            Err(error) => tracing::error!(%error, offset, "record left out"),
+        }
+    }
+
+    fn fold_change(&mut self, offset: ids::Offset, change: Change) {
+        match change {
+            Change::Claim(claim) => {
+                self.decider =
+                    claim.map(|claim| PlacedClaim { claim, token: offset.saturating_add(1) });
+            }
+            Change::Batch(_) => {}
+            Change::Job(id, None) => {
+                self.live.remove(&id);
+                self.ended.remove(&id);
+            }
+            Change::Job(id, Some(JobRecord::Accepted { accepted_wall_ms, spec })) => {
+                let progress = Progress::new(&spec);
+                self.ended.remove(&id);
+                self.live.insert(id, LiveJob { accepted_wall_ms, spec, progress });
+            }
+            Change::Job(id, Some(JobRecord::Ended { queue, state, ended_wall_ms })) => {
+                self.live.remove(&id);
+                self.ended.insert(id, EndedJob { queue, state, ended_wall_ms });
+            }
+            Change::Progress(_, None) => {}
+            Change::Progress(id, Some(bytes)) => {
+                let Some(job) = self.live.get_mut(&id) else {
+                    return;
+                };
+                match Progress::decode(&job.spec, &bytes) {
+                    Ok(progress) => job.progress = progress,
+                    Err(error) => {
+                        tracing::error!(%error, job = %id, offset, "progress left out");
+                    }
+                }
+            }
+        }
+    }
+
+    /// What callers are told of a job.
+    pub fn state_of(&self, id: &str) -> Option<JobState> {
+        match self.live.get(id) {
+            Some(job) => Some(job.progress.state()),
+            None => self.ended.get(id).map(|job| job.state),
+        }
+    }
+
+    /// How many jobs of a queue have not begun.
+    pub fn pending(&self, queue: &str) -> usize {
+        self.live
+            .values()
+            .filter(|job| &*job.spec.queue == queue && job.progress.state() == JobState::Queued)
+            .count()
+    }
+}
--- /dev/null
+++ b/crates/cell/src/peer.rs
@@ -0,0 +1,93 @@
+//! Messages between hosts. A host connects to the decider, and both send on that connection.
+
+use std::sync;
+
+use pier_core::ids;
+use serde::{Deserialize, Serialize};
+
+use crate::job::{JobSpec, StepIndex};
+
+/// A message between two hosts. Each may be lost with its connection.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// The first message of a connection: who connects.
+    Hello {
+        /// The host.
+        host: ids::HostId,
+    },
+    /// The connection is alive.
+    Alive,
+    /// A job that a caller submitted.
+    Submit {
+        /// Names the call in the answer.
+        ticket: ids::Ticket,
+        /// What was submitted.
+        spec: sync::Arc<JobSpec>,
+    },
+    /// A caller cancels a job.
+    Cancel {
+        /// Names the call in the answer.
+        ticket: ids::Ticket,
+        /// The job.
+        job: ids::JobId,
+    },
+    /// What became of a submission or of a cancellation.
+    Verdict {
+        /// The call that it answers.
+        ticket: ids::Ticket,
+        /// What became of it.
+        verdict: Verdict,
+    },
+    /// The host is to ask the adviser.
+    AskAdviser {
+        /// The question.
+        question: Question,
+    },
+    /// What the adviser said.
+    Advice {
+        /// The question's ticket.
+        ticket: ids::Ticket,
+        /// The answer; none when none came.
+        answer: Option<Advice>,
+    },
+}
+
+/// What became of a call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// It is in the log.
+    Stored,
+    /// No such job is known.
+    Unknown,
+    /// It was rejected and has no effect.
+    Rejected {
+        /// Why.
+        reason: String,
+        /// When the caller may come back.
+        retry_after_ms: u64,
+    },
+}
+
+/// A question to the adviser: which of the workers may run a step.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Question {
+    /// Names the question in the answer.
+    pub ticket: ids::Ticket,
+    /// The job.
+    pub job: ids::JobId,
+    /// The step.
+    pub step: StepIndex,
+    /// The workers in question.
+    pub workers: Vec<ids::WorkerId>,
+    /// How long the answer may take.
+    pub timeout_ms: u64,
+}
+
+/// The adviser's answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Advice {
+    /// The workers that may run the step, each with its ticket.
+    pub eligible: Vec<(ids::WorkerId, String)>,
+    /// How long the tickets are valid.
+    pub valid_ms: u64,
+}
--- /dev/null
+++ b/crates/cell/src/run.rs
@@ -0,0 +1,82 @@
+//! The runs of tasks that the decider has ordered and that may be alive.
+
+use std::time;
+
+use pier_core::ids;
+use pier_core::resources::Resources;
+
+use crate::job::{AccountId, RunNumber};
+use crate::worker::Life;
+
+/// How far the order of a run has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunPhase {
+    /// The order waits for its record in the log.
+    Recording,
+    /// The order was sent and is not answered.
+    Sent,
+    /// An earlier decider ordered it, or the answer was lost: the next look tells.
+    Unknown {
+        /// Looks sent from then on tell.
+        since: time::Duration,
+        /// An earlier decider ordered it: a worker that has answered this one refuses that order.
+        is_fenced: bool,
+    },
+    /// The worker has it. Looks that were sent after `since` must list it.
+    Running {
+        /// When the worker's answer came.
+        since: time::Duration,
+    },
+    /// It is to be stopped; the stop is not acknowledged.
+    Stopping {
+        /// When the stop was last sent.
+        sent_at: Option<time::Duration>,
+    },
+    /// The worker has acknowledged the stop.
+    Stopped {
+        /// When the acknowledgement came.
+        since: time::Duration,
+    },
+}
+
+/// A run that may be alive. It takes room until it is certain that it is not.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Run {
+    /// The worker that was ordered to run it.
+    pub worker: ids::WorkerId,
+    /// The worker's lifetime.
+    pub life: Life,
+    /// The number of the start.
+    pub number: RunNumber,
+    /// How far its order has come.
+    pub phase: RunPhase,
+    /// What it takes of the worker.
+    pub need: Resources,
+    /// Whose limit it counts against.
+    pub account: Option<AccountId>,
+    /// When it was decided.
+    pub decided_at: time::Duration,
+}
+
+/// How a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub enum EndKind {
+    /// The task is done.
+    #[display("done")]
+    Done,
+    /// The task or its worker failed.
+    #[display("failed")]
+    Failed,
+    /// It was told to stop.
+    #[display("stopped")]
+    Stopped,
+    /// Its worker heard from no decider for too long.
+    #[display("lapsed")]
+    Lapsed,
+    /// Another member of its gang ended.
+    #[display("broken")]
+    Broken,
+    /// The other members of its gang did not come.
+    #[display("alone")]
+    Alone,
+}
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,85 @@
+//! Counters and histograms of a host.
+
+use std::sync::atomic;
+use std::time;
+
+use prometheus_client::encoding::text;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+
+/// The first bucket of a histogram of times, in seconds.
+const FIRST_BUCKET_S: f64 = 0.000_5;
+/// How many buckets, each twice as wide as the one before: up to 16 s.
+const BUCKETS: u16 = 16;
+
+type Labels = Vec<(String, String)>;
+
+/// The metrics of a host.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    events: Counter,
+    steps: Histogram,
+    calls: Family<Labels, Counter>,
+    call_times: Family<Labels, Histogram>,
+    answers: Family<Labels, Counter>,
+    is_decider: Gauge<i64, atomic::AtomicI64>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let times = || Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS));
+        let mut registry = Registry::with_prefix("pier");
+        let events = Counter::default();
+        registry.register("events", "Events that the host has taken", events.clone());
+        let steps = times();
+        registry.register_with_unit("step", "Time per event", Unit::Seconds, steps.clone());
+        let calls = Family::<Labels, Counter>::default();
+        registry.register("outside_calls", "Calls of outside systems by result", calls.clone());
+        let call_times = Family::<Labels, Histogram>::new_with_constructor(times);
+        registry.register_with_unit(
+            "outside_call",
+            "Time until an outside system has answered",
+            Unit::Seconds,
+            call_times.clone(),
+        );
+        let answers = Family::<Labels, Counter>::default();
+        registry.register("answers", "Answers to callers by status", answers.clone());
+        let is_decider = Gauge::default();
+        registry.register("is_decider", "Whether the host decides", is_decider.clone());
+        Self { registry, events, steps, calls, call_times, answers, is_decider }
+    }
+}
+
+impl Metrics {
+    /// Counts an event and the time that it took.
+    pub fn note_step(&self, took: time::Duration, is_decider: bool) {
+        self.events.inc();
+        self.steps.observe(took.as_secs_f64());
+        self.is_decider.set(i64::from(is_decider));
+    }
+
+    /// Counts a call of an outside system.
+    pub fn note_call(&self, system: &str, result: &str, took: time::Duration) {
+        let system = ("system".to_owned(), system.to_owned());
+        self.call_times.get_or_create(&vec![system.clone()]).observe(took.as_secs_f64());
+        self.calls.get_or_create(&vec![system, ("result".to_owned(), result.to_owned())]).inc();
+    }
+
+    /// Counts an answer to a caller.
+    pub fn note_answer(&self, status: u16) {
+        self.answers.get_or_create(&vec![("status".to_owned(), status.to_string())]).inc();
+    }
+
+    /// All metrics as text.
+    pub fn to_text(&self) -> String {
+        let mut encoded = String::new();
+        if let Err(error) = text::encode(&mut encoded, &self.registry) {
+            tracing::error!(%error, "metrics not encoded");
+        }
+        encoded
+    }
+}
