--- a/crates/cell/src/host/claim.rs
+++ b/crates/cell/src/host/claim.rs
@@ -170,7 +170,11 @@
             ledger: &mut self.ledger,
             effects,
         };
-        let decider = Decider::new(&mut context, self.me.incarnation, token, end);
+        let mut decider = Decider::new(&mut context, self.me.incarnation, token, end);
+        // Hosts may have connected before the claim, to an earlier process of this host.
+        for host in &self.peers {
+            decider.on_peer(host);
+        }
         self.role = Role::Deciding(Box::new(decider));
         self.workers.restart(now);
         self.connected_to = None;
@@ -220,6 +224,7 @@
             self.disconnected_at = now;
             self.calls.repeat_all();
         }
+        self.peers.remove(host);
         self.with_decider(now, wall_ms, out, |decider, context| {
             decider.on_peer_gone(context, host);
         });
--- a/crates/cell/src/host/mod.rs
+++ b/crates/cell/src/host/mod.rs
@@ -79,6 +79,8 @@
     next_ticket: ids::Ticket,
     /// When the log last had a record of a living decider.
     heard_at: time::Duration,
+    /// The hosts with a connection to this one.
+    peers: BTreeSet<ids::HostId>,
     connected_to: Option<ids::HostId>,
     wanted_connection: Option<(ids::HostId, sync::Arc<str>)>,
     disconnected_at: time::Duration,
@@ -102,6 +104,7 @@
             calls: Calls::default(),
             next_ticket: 0,
             heard_at: time::Duration::ZERO,
+            peers: BTreeSet::new(),
             connected_to: None,
             wanted_connection: None,
             disconnected_at: time::Duration::ZERO,
@@ -349,6 +352,7 @@
                     tracing::info!(decider = %host, "connected to the decider");
                     self.connected_to = Some(ids::HostId::clone(&host));
                 }
+                self.peers.insert(ids::HostId::clone(&host));
                 self.with_decider(now, wall_ms, out, |decider, _| decider.on_peer(&host));
             }
             Message::Verdict { ticket, verdict } => {
