Start gangs whole, and find out what runs in a worker's new lifetime

The simulated cell then found that a rejection by a replaced decider was told to a caller whose job its successor had taken; that a start could reach the next lifetime of a worker with the same id and was taken for lost with the earlier one; and that looks, and with them the leases, stopped while the log could not take the ends that were read.

Ruled out: carrying out a late order in another lifetime, which was a mistake of the simulation.

Change: starts are checked before the first one is sent; verdicts carry the decider's token; a run that no look has shown in the old lifetime is looked for in the new one; looks go on without the log and acknowledge nothing after a failed one.

--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -101,13 +101,20 @@
         }
     }
 
-    /// Takes the decider's verdict. None when the caller has been answered already.
+    /// Takes the verdict of the decider with this token. None when the caller has been answered
+    /// already, or when a later decider has the call: it may store what an earlier one rejects.
     pub fn on_verdict(
         &mut self,
         now: time::Duration,
         ticket: ids::Ticket,
+        token: u64,
         verdict: Verdict,
     ) -> Option<Answer> {
+        let is_last = self.waiting.get(&ticket)?.passed_to == Some(token);
+        if !is_last && verdict != Verdict::Stored {
+            tracing::debug!(ticket, token, ?verdict, "verdict of an earlier decider left out");
+            return None;
+        }
         let call = self.waiting.remove(&ticket)?;
         let waited_ms = pier_core::clock::millis(now.saturating_sub(call.arrived_at));
         tracing::info!(job = %call.wanted.job(), ?verdict, waited_ms, "call answered");
--- a/crates/cell/src/decider/looks.rs
+++ b/crates/cell/src/decider/looks.rs
@@ -14,6 +14,9 @@
 
 /// The pause between looks while a run's fate is open.
 const OPEN_RUN_PAUSE: time::Duration = time::Duration::from_millis(100);
+/// The pause between looks while the log has not taken the ends that were read. The worker lists them
+/// again at once, but its leases must be extended all the same.
+const UNSTORED_PAUSE: time::Duration = time::Duration::from_millis(1_000);
 /// A worker lists at most so many ends at once, so a run that is missing may be among the others.
 const MOST_LISTED_ENDS: usize = 500;
 /// After so many failed looks no lease is extended any more, so that it is known when they end.
@@ -32,7 +35,8 @@
                 || worker.look_sent_at.is_some()
                 || context.now < worker.look_due_at
                 || worker.entry.address.is_empty()
-                || worker.ends_read > worker.ends_stored
+                || (worker.ends_read > worker.ends_stored
+                    && context.now < worker.looked_at.saturating_add(UNSTORED_PAUSE))
             {
                 continue;
             }
@@ -48,6 +52,7 @@
                 None
             };
             worker.look_sent_at = Some(context.now);
+            worker.looked_at = context.now;
             context.effects.push(Effect::Look {
                 target: crate::effect::Target {
                     worker: ids::WorkerId::clone(&worker.entry.id),
@@ -55,7 +60,8 @@
                     token: self.token,
                 },
                 sent_at: context.now,
-                ends_stored: worker.ends_stored,
+                // After a failed look another lifetime may answer, with ends of its own.
+                ends_stored: if worker.failed_looks == 0 { worker.ends_stored } else { 0 },
                 lease_until_ms,
                 wait,
                 timeout: context.options.order_timeout,
@@ -169,10 +175,11 @@
                 self.stop_stray(context, id, listed);
                 continue;
             }
-            if let Some(run) = self.runs.get_mut(&listed.task)
-                && matches!(run.phase, RunPhase::Unknown { .. })
-            {
-                run.phase = RunPhase::Running { since: context.now };
+            if let Some(run) = self.runs.get_mut(&listed.task) {
+                run.is_listed = true;
+                if matches!(run.phase, RunPhase::Unknown { .. }) {
+                    run.phase = RunPhase::Running { since: context.now };
+                }
             }
             let Some(job) = context.ledger.live.get_mut(&listed.task.job) else {
                 continue;
--- a/crates/cell/src/decider/mod.rs
+++ b/crates/cell/src/decider/mod.rs
@@ -370,7 +370,7 @@
         match origin {
             Origin::Local(ticket) => self.local_verdicts.push((ticket, verdict)),
             Origin::Remote(to, ticket) => {
-                let message = Message::Verdict { ticket, verdict };
+                let message = Message::Verdict { ticket, token: self.token, verdict };
                 context.effects.push(Effect::Send { to, message });
             }
         }
--- a/crates/cell/src/decider/orders.rs
+++ b/crates/cell/src/decider/orders.rs
@@ -19,35 +19,32 @@
 const DEFAULT_ATTEMPTS: u32 = 1;
 
 impl Decider {
-    /// Sends the starts whose records are stored. What has changed since they were decided counts.
+    /// Sends the starts whose records are stored. What has changed since they were decided counts,
+    /// and a gang is started only if all its members can be.
     pub(super) fn send_starts(&mut self, context: &mut Context<'_>, orders: &[TaskRef]) {
         for task in orders {
-            let Some(run) = self.runs.get(task) else {
-                continue;
-            };
-            if run.phase != RunPhase::Recording {
-                continue;
-            }
-            if let Err(reason) = self.send_start(context, task) {
+            if let Err(reason) = self.check_start(context, task) {
                 self.lose_run(context, task, reason);
             }
         }
+        for task in orders {
+            // Members of a gang that was given up are gone by now.
+            if self.runs.get(task).is_some_and(|run| run.phase == RunPhase::Recording) {
+                self.send_start(context, task);
+            }
+        }
     }
 
-    fn send_start(
-        &mut self,
-        context: &mut Context<'_>,
-        task: &TaskRef,
-    ) -> Result<(), &'static str> {
+    fn check_start(&self, context: &Context<'_>, task: &TaskRef) -> Result<(), &'static str> {
         let job = context.ledger.live.get(&task.job).ok_or("the job has ended")?;
         if job.progress.verdict.is_some() {
             return Err("the job has a verdict");
         }
-        let run = self.runs.get_mut(task).ok_or("there is no such run")?;
+        let run = self.runs.get(task).ok_or("there is no such run")?;
         if context.now > run.decided_at.saturating_add(context.options.order_age) {
             return Err("the decision is too old");
         }
-        let worker = self.workers.get_mut(&run.worker).ok_or("the worker is gone")?;
+        let worker = self.workers.get(&run.worker).ok_or("the worker is gone")?;
         if worker.entry.life != run.life || !worker.takes_work(context.now) {
             return Err("the worker takes no work");
         }
@@ -55,40 +52,59 @@
             return Err("the zone is out of service");
         }
         let queue = context.directory.queue(&job.spec.queue).ok_or("the queue is gone")?;
-        let ticket = if queue.advice.is_some() {
-            let key = (ids::JobId::clone(&task.job), task.step);
-            let advice = self.advice.get(&key).ok_or("there is no advice")?;
-            let ticket = advice.ticket(context.now, &run.worker).ok_or("the ticket lapsed")?;
-            Some(ticket.text.clone())
-        } else {
-            None
+        if queue.advice.is_some() && self.ticket_of(context, task, &run.worker).is_none() {
+            return Err("the ticket lapsed");
+        }
+        Ok(())
+    }
+
+    fn ticket_of(
+        &self,
+        context: &Context<'_>,
+        task: &TaskRef,
+        worker: &ids::WorkerId,
+    ) -> Option<String> {
+        let advice = self.advice.get(&(ids::JobId::clone(&task.job), task.step))?;
+        advice.ticket(context.now, worker).map(|ticket| ticket.text.clone())
+    }
+
+    fn send_start(&mut self, context: &mut Context<'_>, task: &TaskRef) {
+        let (Some(job), Some(run)) =
+            (context.ledger.live.get(&task.job), self.runs.get(task).cloned())
+        else {
+            return;
+        };
+        let ticket = self.ticket_of(context, task, &run.worker);
+        let Some(lease_until_ms) = self
+            .workers
+            .get_mut(&run.worker)
+            .and_then(|worker| worker.lease_until_ms(context.now, context.options))
+        else {
+            self.lose_run(context, task, "the worker's clock is not known");
+            return;
         };
-        let lease_until_ms = worker
-            .lease_until_ms(context.now, context.options)
-            .ok_or("the worker's clock is not known")?;
-        run.phase = RunPhase::Sent;
-        let (number, decided_at) = (run.number, run.decided_at);
         let step = &job.spec.steps[task.step];
         let keeper = if step.gang { 0 } else { task.index };
         let order = StartOrder {
             task: task.clone(),
-            number,
+            number: run.number,
             payload: sync::Arc::clone(&job.spec.payload),
             lease_until_ms,
             checkpoint: job.progress.steps[task.step][keeper].checkpoint.clone(),
             ticket,
         };
-        let worker = &self.workers[&self.runs[task].worker];
-        tracing::info!(job = %task.job, step = task.step, task = task.index, run = number,
-            worker = %worker.entry.id, token = self.token, version = context.directory.version,
+        tracing::info!(job = %task.job, step = task.step, task = task.index, run = run.number,
+            worker = %run.worker, token = self.token, version = context.directory.version,
             waited_ms = context.wall_ms.saturating_sub(job.accepted_wall_ms), "start ordered");
         context.effects.push(Effect::Start {
-            target: self.target(worker),
+            target: self.target(&self.workers[&run.worker]),
             order: Box::new(order),
-            decided_at,
+            decided_at: run.decided_at,
             timeout: context.options.order_timeout,
         });
-        Ok(())
+        if let Some(run) = self.runs.get_mut(task) {
+            run.phase = RunPhase::Sent;
+        }
     }
 
     /// Takes the answer to a start.
@@ -259,15 +275,23 @@
         self.break_gang(context, task);
     }
 
-    /// The members of a gang work only together: without one of them the others are stopped.
-    fn break_gang(&mut self, context: &Context<'_>, task: &TaskRef) {
+    /// The members of a gang work only together: without one of them the others are stopped, and
+    /// those that were not sent yet are given up.
+    fn break_gang(&mut self, context: &mut Context<'_>, task: &TaskRef) {
         let Some(job) = context.ledger.live.get(&task.job) else {
             return;
         };
         let is_done = job.progress.steps[task.step][task.index].phase == Phase::Done;
-        if job.spec.steps[task.step].gang && !is_done {
-            self.stop_runs_of(&task.job, Some(task.step));
+        if !job.spec.steps[task.step].gang || is_done {
+            return;
+        }
+        for index in 0..job.spec.steps[task.step].tasks {
+            let member = TaskRef { index, ..task.clone() };
+            if self.runs.get(&member).is_some_and(|run| run.phase == RunPhase::Recording) {
+                self.remove_run(context, &member);
+            }
         }
+        self.stop_runs_of(&task.job, Some(task.step));
     }
 
     fn note_begun(&mut self, context: &mut Context<'_>, task: &TaskRef) {
--- a/crates/cell/src/decider/schedule.rs
+++ b/crates/cell/src/decider/schedule.rs
@@ -227,6 +227,7 @@
             phase: RunPhase::Recording,
             need: candidate.step().need,
             account: candidate.spec.account.clone(),
+            is_listed: false,
             decided_at: context.now,
         };
         self.dirty.insert(ids::JobId::clone(&candidate.job));
--- a/crates/cell/src/decider/takeover.rs
+++ b/crates/cell/src/decider/takeover.rs
@@ -78,6 +78,7 @@
                         phase: RunPhase::Unknown { since: context.now, is_fenced: true },
                         need: job.spec.steps[step].need,
                         account: job.spec.account.clone(),
+                        is_listed: false,
                         decided_at: context.now,
                     };
                     adopted.push((TaskRef { job: ids::JobId::clone(id), step, index }, run));
@@ -176,7 +177,8 @@
         worker.entry = entry;
     }
 
-    /// A worker has begun another lifetime: nothing of before runs on it.
+    /// A worker has begun another lifetime. What was seen in the earlier one is gone with it; for
+    /// the rest a look at the new one tells.
     pub(super) fn end_life(&mut self, context: &mut Context<'_>, id: &ids::WorkerId, life: Life) {
         let Some(worker) = self.workers.get(id) else {
             return;
@@ -187,7 +189,16 @@
             advice.forget(id);
         }
         for task in tasks {
-            self.lose_run(context, &task, "the worker began another lifetime");
+            let Some(run) = self.runs.get_mut(&task) else {
+                continue;
+            };
+            if run.is_listed || run.phase == RunPhase::Recording {
+                self.lose_run(context, &task, "the worker began another lifetime");
+                continue;
+            }
+            run.life = life;
+            run.phase = RunPhase::Unknown { since: context.now, is_fenced: false };
+            self.stopping.remove(&task);
         }
     }
 
--- a/crates/cell/src/host/mod.rs
+++ b/crates/cell/src/host/mod.rs
@@ -218,10 +218,11 @@
             effects,
         };
         act(decider, &mut context);
+        let token = decider.token();
         let verdicts = decider.take_local_verdicts();
         let deposed = decider.deposed();
         for (ticket, verdict) in verdicts {
-            if let Some(answer) = self.calls.on_verdict(now, ticket, verdict) {
+            if let Some(answer) = self.calls.on_verdict(now, ticket, token, verdict) {
                 effects.push(Effect::Answer { ticket, answer });
             }
         }
@@ -355,8 +356,8 @@
                 self.peers.insert(ids::HostId::clone(&host));
                 self.with_decider(now, wall_ms, out, |decider, _| decider.on_peer(&host));
             }
-            Message::Verdict { ticket, verdict } => {
-                if let Some(answer) = self.calls.on_verdict(now, ticket, verdict) {
+            Message::Verdict { ticket, token, verdict } => {
+                if let Some(answer) = self.calls.on_verdict(now, ticket, token, verdict) {
                     out.push(Effect::Answer { ticket, answer });
                 }
             }
--- a/crates/cell/src/peer.rs
+++ b/crates/cell/src/peer.rs
@@ -35,6 +35,8 @@
     Verdict {
         /// The call that it answers.
         ticket: ids::Ticket,
+        /// The fencing token of the decider that says so.
+        token: u64,
         /// What became of it.
         verdict: Verdict,
     },
--- a/crates/cell/src/run.rs
+++ b/crates/cell/src/run.rs
@@ -54,6 +54,9 @@
     pub need: Resources,
     /// Whose limit it counts against.
     pub account: Option<AccountId>,
+    /// A look has shown it in its worker's lifetime. Until then an order may have reached another
+    /// lifetime of the worker, because both can have one id and one address.
+    pub is_listed: bool,
     /// When it was decided.
     pub decided_at: time::Duration,
 }
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -60,6 +60,8 @@
     pub runs: BTreeSet<TaskRef>,
     /// When a look was sent that has not been answered.
     pub look_sent_at: Option<time::Duration>,
+    /// When the last look was sent.
+    pub looked_at: time::Duration,
     /// When the next look may be sent.
     pub look_due_at: time::Duration,
     /// Whether it has answered this decider, after which it refuses all earlier ones.
@@ -87,6 +89,7 @@
             used: Resources::ZERO,
             runs: BTreeSet::new(),
             look_sent_at: None,
+            looked_at: time::Duration::ZERO,
             look_due_at: time::Duration::ZERO,
             is_contacted: false,
             ends_stored: 0,
--- /dev/null
+++ b/crates/cell/tests/cell_faults.rs
@@ -0,0 +1,219 @@
+//! Whole cells in simulated time: what holds while hosts, the store and workers fail.
+
+mod sim;
+
+use std::collections::BTreeSet;
+
+use pier_cell::job::JobState;
+use rand::Rng;
+
+use sim::{Sim, step};
+
+/// Jobs that are handed in a second.
+const JOBS_PER_S: u64 = 12;
+
+fn load(sim: &mut Sim, seconds: u64, count: &mut usize) {
+    for _ in 0..seconds * JOBS_PER_S {
+        let host = sim.rng.random_range(0..sim.hosts.len());
+        let tasks = sim.rng.random_range(1..4);
+        let need = sim.rng.random_range(1..5);
+        let mut steps = vec![step(tasks, need)];
+        if sim.rng.random_range(0..4) == 0 {
+            steps[0].gang = true;
+        }
+        if sim.rng.random_range(0..4) == 0 {
+            let mut second = step(1, 1);
+            second.after = vec![0];
+            steps.push(second);
+        }
+        let queue = if sim.rng.random_range(0..2) == 0 { "urgent" } else { "batch" };
+        *count += 1;
+        sim.submit(host, &format!("{count:016x}"), queue, steps);
+        sim.run_for(1_000 / JOBS_PER_S);
+    }
+}
+
+fn check(sim: &Sim) {
+    assert_eq!(sim.seen.broken, Vec::<String>::new());
+    let mut unfinished = BTreeSet::new();
+    for id in &sim.seen.accepted {
+        match sim.stored_state(id) {
+            Some(JobState::Completed | JobState::Failed) => {}
+            state => {
+                unfinished.insert(format!("{id} is {state:?}"));
+            }
+        }
+    }
+    assert_eq!(unfinished, BTreeSet::new(), "accepted jobs that did not end");
+    for id in &sim.seen.rejected {
+        assert_eq!(sim.stored_state(id), None, "{id} was rejected and is known all the same");
+    }
+}
+
+/// Guards against a path that loses or doubles work without any fault.
+#[test]
+fn a_calm_cell_runs_all_that_it_accepts() {
+    let mut sim = Sim::new(1, 4, 8);
+    sim.run_for(2_000);
+    let mut count = 0;
+    load(&mut sim, 6, &mut count);
+    sim.run_for(8_000);
+    assert_eq!(sim.seen.accepted.len(), count);
+    check(&sim);
+}
+
+/// Guards against a long time without starts when the decider's process dies, and against what it
+/// had decided being lost or run twice.
+#[test]
+fn starts_go_on_within_two_seconds_of_the_deciders_death() {
+    let mut sim = Sim::new(2, 5, 8);
+    sim.run_for(2_000);
+    let mut count = 0;
+    load(&mut sim, 3, &mut count);
+    let decider = sim.decider().expect("a decider");
+    let killed_at_ms = sim.now_ms;
+    sim.kill_host(decider);
+    for index in 0..sim.hosts.len() {
+        if index != decider {
+            let id = format!("after{index:011}");
+            sim.submit(index, &id, "urgent", vec![step(1, 1)]);
+        }
+    }
+    sim.run_for(2_000);
+    let first = sim.seen.start_times_ms.iter().find(|at| **at > killed_at_ms + 100);
+    assert!(first.is_some_and(|at| *at <= killed_at_ms + 2_000), "first start at {first:?}");
+    sim.start_host(decider);
+    sim.run_for(10_000);
+    check(&sim);
+}
+
+/// Guards against a new decider that asks the adviser alone: hosts that restart together connect
+/// to the decider's address before its new process has claimed the place.
+#[test]
+fn all_hosts_ask_the_adviser_after_they_have_restarted_together() {
+    let mut sim = Sim::new(3, 5, 8);
+    let mut directory = sim.directory.clone();
+    for queue in &mut directory.queues {
+        queue.advice = Some(pier_cell::directory::AdviceTerms {
+            base: std::time::Duration::from_millis(100),
+            per_worker: std::time::Duration::from_millis(1),
+            validity: std::time::Duration::from_millis(1_500),
+        });
+    }
+    directory.version = 2;
+    sim.advice_ms = 400;
+    sim.declare(directory);
+    sim.run_for(2_000);
+    let mut count = 0;
+    load(&mut sim, 2, &mut count);
+    for index in 0..sim.hosts.len() {
+        sim.kill_host(index);
+    }
+    sim.run_for(500);
+    sim.seen.questions_by_host.clear();
+    for index in 0..sim.hosts.len() {
+        sim.start_host(index);
+    }
+    sim.run_for(2_000);
+    load(&mut sim, 4, &mut count);
+    let asking = sim.seen.questions_by_host.len();
+    assert!(asking >= 4, "only {asking} of 5 hosts asked the adviser");
+    sim.run_for(10_000);
+    check(&sim);
+}
+
+/// Guards against work that is lost or doubled under faults of every kind in random order.
+///
+/// `PIER_CELL_SEEDS=FIRST..END` plays other seeds, and `PIER_CELL_TRACE` prints what the hosts log.
+#[test]
+fn promises_hold_under_random_faults() {
+    if std::env::var("PIER_CELL_TRACE").is_ok() {
+        tracing_subscriber::fmt().without_time().with_ansi(false).with_target(false).init();
+    }
+    let seeds = match std::env::var("PIER_CELL_SEEDS") {
+        Ok(range) => {
+            let (first, end) = range.split_once("..").expect("FIRST..END");
+            first.parse().expect("a seed")..end.parse().expect("a seed")
+        }
+        Err(_) => 0..24,
+    };
+    let mut failed = Vec::new();
+    for seed in seeds {
+        let result = std::panic::catch_unwind(|| random_faults(seed));
+        if result.is_err() {
+            failed.push(seed);
+        }
+    }
+    assert_eq!(failed, Vec::<u64>::new(), "seeds that failed");
+}
+
+fn random_faults(seed: u64) {
+    let mut sim = Sim::new(seed, 4, 8);
+    sim.run_for(2_000);
+    let mut count = 0;
+    for _ in 0..6 {
+        load(&mut sim, 1, &mut count);
+        inject(&mut sim);
+        load(&mut sim, 1, &mut count);
+    }
+    calm(&mut sim);
+    sim.run_for(30_000);
+    check(&sim);
+}
+
+fn inject(sim: &mut Sim) {
+    let host = match sim.rng.random_range(0..2) {
+        0 => sim.decider().unwrap_or(0),
+        _ => sim.rng.random_range(0..sim.hosts.len()),
+    };
+    let worker = format!("w{}", sim.rng.random_range(0..8));
+    match sim.rng.random_range(0..10) {
+        0 => {
+            sim.kill_host(host);
+            let pause = sim.rng.random_range(50..1_500);
+            sim.run_for(pause);
+            sim.start_host(host);
+        }
+        1 => sim.hosts[host].paused_until_ms = sim.now_ms + sim.rng.random_range(500..5_000),
+        2 => sim.hosts[host].is_cut_from_store = !sim.hosts[host].is_cut_from_store,
+        3 => sim.is_store_down = !sim.is_store_down,
+        4 => sim.lost_appends_percent = sim.rng.random_range(0..40),
+        5 => sim.late_orders_percent = sim.rng.random_range(0..20),
+        6 if sim.workers[&worker].is_up => sim.crash_worker(&worker),
+        6 => sim.revive_worker(&worker),
+        7 if !sim.cut_workers.remove(&worker) => {
+            sim.cut_workers.insert(worker);
+        }
+        8 => sim.cell.trim(),
+        9 => {
+            for index in 0..sim.hosts.len() {
+                sim.kill_host(index);
+            }
+            let pause = sim.rng.random_range(50..2_000);
+            sim.run_for(pause);
+            for index in 0..sim.hosts.len() {
+                sim.start_host(index);
+            }
+        }
+        _ => {}
+    }
+}
+
+fn calm(sim: &mut Sim) {
+    sim.is_store_down = false;
+    sim.lost_appends_percent = 0;
+    sim.late_orders_percent = 0;
+    sim.cut_workers.clear();
+    for index in 0..sim.hosts.len() {
+        sim.hosts[index].is_cut_from_store = false;
+    }
+    let dead: Vec<String> = sim
+        .workers
+        .values()
+        .filter(|worker| !worker.is_up)
+        .map(|worker| worker.id.clone())
+        .collect();
+    for id in dead {
+        sim.revive_worker(&id);
+    }
+}
--- /dev/null
+++ b/crates/cell/tests/decider.rs
@@ -0,0 +1,387 @@
+//! The decider alone: what it does between the decision, the append and the answers.
+
+use std::collections::BTreeSet;
+use std::sync;
+use std::time;
+
+use pier_cell::decider::{Context, Decider, Origin};
+use pier_cell::directory::{Account, AdviceTerms, Directory, Queue};
+use pier_cell::effect::Effect;
+use pier_cell::event::{AppendAnswer, ListedEnd, ListedRun, LookAnswer, StartAnswer, WorkerRecord};
+use pier_cell::follow::Learned;
+use pier_cell::job::{JobSpec, JobState, Step, TaskRef};
+use pier_cell::ledger::Ledger;
+use pier_cell::options::Options;
+use pier_cell::peer::Advice;
+use pier_cell::run::EndKind;
+use pier_cell::worker::Entry;
+use pier_core::resources::Resources;
+
+const TOKEN: u64 = 7;
+
+struct Bench {
+    now: time::Duration,
+    options: Options,
+    directory: Directory,
+    zones_out: BTreeSet<pier_core::ids::ZoneId>,
+    ledger: Ledger,
+    decider: Option<Decider>,
+    end: u64,
+}
+
+impl Bench {
+    fn new(queue: Queue) -> Self {
+        let account = Account {
+            name: "team".into(),
+            keys: vec!["key".into()],
+            weight: 1,
+            cap: Resources::MAX,
+        };
+        let mut bench = Self {
+            now: time::Duration::from_secs(10),
+            options: Options::default(),
+            directory: Directory::new(1, vec![queue], vec![account], 100_000),
+            zones_out: BTreeSet::new(),
+            ledger: Ledger::default(),
+            decider: None,
+            end: 100,
+        };
+        let decider = {
+            let mut effects = Vec::new();
+            let mut context = bench.context(&mut effects);
+            Decider::new(&mut context, 1, TOKEN, 100)
+        };
+        bench.decider = Some(decider);
+        bench
+    }
+
+    fn context<'a>(&'a mut self, effects: &'a mut Vec<Effect>) -> Context<'a> {
+        Context {
+            now: self.now,
+            wall_ms: 1_000_000,
+            options: &self.options,
+            directory: &self.directory,
+            zones_out: &self.zones_out,
+            ledger: &mut self.ledger,
+            effects,
+        }
+    }
+
+    fn act(&mut self, act: impl FnOnce(&mut Decider, &mut Context<'_>)) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let mut decider = self.decider.take().expect("the bench has a decider");
+        act(&mut decider, &mut self.context(&mut effects));
+        self.decider = Some(decider);
+        effects
+    }
+
+    fn advance(&mut self, millis: u64) -> Vec<Effect> {
+        self.now += time::Duration::from_millis(millis);
+        self.act(|decider, context| decider.advance(context))
+    }
+
+    fn list(&mut self, ids: &[&str]) {
+        let records = ids.iter().map(|id| (0, record(id))).collect();
+        let learned = Learned { is_restart: true, records, is_at_tail: true };
+        self.act(|decider, context| decider.on_workers(context, learned));
+        let looks = self.advance(30);
+        for effect in looks {
+            let Effect::Look { target, sent_at, .. } = effect else {
+                continue;
+            };
+            self.report(&target.worker, sent_at, Vec::new(), Vec::new());
+        }
+        // The first append of the decider is under way.
+        self.now += time::Duration::from_millis(400);
+        let effects = self.advance(0);
+        self.store(&effects);
+    }
+
+    fn report(
+        &mut self,
+        id: &str,
+        sent_at: time::Duration,
+        running: Vec<ListedRun>,
+        ended: Vec<ListedEnd>,
+    ) {
+        let answer = LookAnswer::Report { clock_ms: 5_000, life: Some(1), running, ended };
+        self.act(|decider, context| {
+            decider.on_look_answered(context, &id.into(), sent_at, answer);
+        });
+    }
+
+    fn submit(&mut self, steps: Vec<Step>) -> TaskRef {
+        let spec = JobSpec {
+            id: "job".into(),
+            queue: "queue".into(),
+            account: Some("team".into()),
+            payload: "text".into(),
+            steps,
+        };
+        self.act(|decider, context| {
+            decider.on_submit(context, Origin::Local(1), sync::Arc::new(spec));
+        });
+        TaskRef { job: "job".into(), step: 0, index: 0 }
+    }
+
+    /// Answers the append among the effects as stored.
+    fn store(&mut self, effects: &[Effect]) -> Vec<Effect> {
+        let mut stored = Vec::new();
+        for effect in effects {
+            let Effect::Append { ticket, records, .. } = effect else {
+                continue;
+            };
+            self.end += u64::try_from(records.len()).expect("few records");
+            let answer = AppendAnswer::Stored { end: self.end };
+            let ticket = *ticket;
+            stored.extend(self.act(|decider, context| {
+                decider.on_appended(context, ticket, answer);
+            }));
+        }
+        stored
+    }
+
+    fn state(&self) -> Option<JobState> {
+        self.ledger.state_of("job")
+    }
+}
+
+fn record(id: &str) -> WorkerRecord {
+    let entry = Entry {
+        id: id.into(),
+        address: format!("{id}:1").into(),
+        service: "pool".into(),
+        zone: "north".into(),
+        life: 1,
+        labels: Vec::new(),
+        capacity: cores(4),
+        is_draining: false,
+        remaining: None,
+    };
+    WorkerRecord { id: id.into(), entry: Some(entry) }
+}
+
+fn cores(count: u64) -> Resources {
+    Resources { cpu_milli: count * 1_000, ..Resources::ZERO }
+}
+
+fn queue(advice: Option<AdviceTerms>) -> Queue {
+    Queue {
+        name: "queue".into(),
+        host: "cell.example".into(),
+        path_prefix: "/queue/".into(),
+        service: "pool".into(),
+        priority: 0,
+        max_attempts: 2,
+        slack_factor: 2.0,
+        target_latency: time::Duration::from_secs(1),
+        advice,
+        is_open: false,
+    }
+}
+
+fn tasks(count: usize, gang: bool) -> Vec<Step> {
+    vec![Step { tasks: count, need: cores(4), gang, estimate_ms: 100, ..Step::default() }]
+}
+
+fn starts(effects: &[Effect]) -> usize {
+    effects.iter().filter(|effect| matches!(effect, Effect::Start { .. })).count()
+}
+
+/// Guards against a start that the log does not hold: after the decider's death nobody would know
+/// of it, and the task would run twice.
+#[test]
+fn starts_are_sent_after_their_record_is_stored() {
+    let mut bench = Bench::new(queue(None));
+    bench.list(&["w0"]);
+    bench.submit(tasks(1, false));
+    let effects = bench.advance(30);
+    assert_eq!(starts(&effects), 0);
+    assert!(effects.iter().any(|effect| matches!(effect, Effect::Append { .. })));
+    assert_eq!(starts(&bench.store(&effects)), 1);
+}
+
+/// Guards against a gang of which a part was started: its members wait for the others in vain. One
+/// worker begins to drain between the decision and the answer of the log.
+#[test]
+fn a_gang_is_started_whole_or_not_at_all() {
+    let mut bench = Bench::new(queue(None));
+    bench.list(&["w0", "w1", "w2"]);
+    bench.submit(tasks(3, true));
+    let effects = bench.advance(30);
+    let mut draining = record("w1");
+    draining.entry.as_mut().expect("an entry").is_draining = true;
+    let learned = Learned { is_restart: false, records: vec![(1, draining)], is_at_tail: true };
+    bench.act(|decider, context| decider.on_workers(context, learned));
+    let mut stored = bench.store(&effects);
+    let sent = starts(&stored);
+    stored.extend(bench.advance(1));
+    let stops = stored.iter().filter(|effect| matches!(effect, Effect::Stop { .. })).count();
+    assert_eq!(sent, stops, "each member that was started is stopped again");
+    assert_eq!(sent, 0, "the decider knew of the drain before it sent the first start");
+}
+
+/// Guards against a second run while the first may still begin: a start without an answer may be
+/// carried out seconds later, until a stop of that run is acknowledged.
+#[test]
+fn a_start_without_an_answer_is_barred_before_the_task_runs_elsewhere() {
+    let mut bench = Bench::new(queue(None));
+    bench.list(&["w0", "w1"]);
+    let task = bench.submit(tasks(1, false));
+    let effects = bench.advance(30);
+    let sent = bench.store(&effects);
+    let worker = sent
+        .iter()
+        .find_map(|effect| match effect {
+            Effect::Start { target, .. } => Some(target.worker.clone()),
+            _ => None,
+        })
+        .expect("a start");
+    bench.act(|decider, context| {
+        decider.on_start_answered(context, &task, 1, StartAnswer::NoAnswer);
+    });
+    // The worker does not list the run: the order may still be under way.
+    for _ in 0..4 {
+        let effects = bench.advance(200);
+        let mut stopped = false;
+        for effect in &effects {
+            match effect {
+                Effect::Look { target, sent_at, .. } => {
+                    bench.report(&target.worker, *sent_at, Vec::new(), Vec::new());
+                }
+                Effect::Stop { target, number, .. } => {
+                    assert_eq!((&target.worker, *number), (&worker, 1));
+                    stopped = true;
+                }
+                _ => {}
+            }
+        }
+        let stored = bench.store(&effects);
+        assert_eq!(starts(&stored), 0, "no second run before the stop is acknowledged");
+        if stopped {
+            break;
+        }
+    }
+    bench.act(|decider, context| decider.on_stop_answered(context, &task, 1, true));
+    let mut second = 0;
+    for _ in 0..4 {
+        let effects = bench.advance(200);
+        for effect in &effects {
+            if let Effect::Look { target, sent_at, .. } = effect {
+                bench.report(&target.worker, *sent_at, Vec::new(), Vec::new());
+            }
+        }
+        second += starts(&bench.store(&effects));
+    }
+    assert_eq!(second, 1, "the task runs elsewhere once the first run is barred");
+}
+
+/// Guards against counting one failure twice: a worker lists an end again until it is acknowledged,
+/// and after a change of the decider once more.
+#[test]
+fn a_failure_that_is_listed_again_counts_once() {
+    let mut bench = Bench::new(queue(None));
+    bench.list(&["w0"]);
+    let task = bench.submit(tasks(1, false));
+    let effects = bench.advance(30);
+    bench.store(&effects);
+    let end = ListedEnd {
+        sequence: 1,
+        task: Some(task.clone()),
+        number: 1,
+        kind: Some(EndKind::Failed),
+        checkpoint: None,
+    };
+    let again = ListedEnd { sequence: 2, ..end.clone() };
+    let now = bench.now;
+    bench.report("w0", now, Vec::new(), vec![end, again]);
+    assert_ne!(bench.state(), Some(JobState::Failed), "one of two attempts has failed");
+}
+
+/// Guards against a job that ends as failed too late or never: its queue allows two attempts.
+#[test]
+fn a_job_has_failed_after_as_many_failures_as_its_queue_allows() {
+    let mut bench = Bench::new(queue(None));
+    bench.list(&["w0"]);
+    let task = bench.submit(tasks(1, false));
+    for number in 1..=2 {
+        let effects = bench.advance(30);
+        let stored = bench.store(&effects);
+        assert_eq!(starts(&stored), 1, "attempt {number}");
+        let end = ListedEnd {
+            sequence: u64::from(number),
+            task: Some(task.clone()),
+            number,
+            kind: Some(EndKind::Failed),
+            checkpoint: None,
+        };
+        let now = bench.now;
+        bench.report("w0", now, Vec::new(), vec![end]);
+    }
+    assert_eq!(bench.state(), Some(JobState::Failed));
+}
+
+/// Guards against acknowledging an end before it is stored: the worker forgets it, and after the
+/// decider's death nobody would know that the task is done.
+#[test]
+fn an_end_is_acknowledged_after_its_record_is_stored() {
+    let mut bench = Bench::new(queue(None));
+    bench.list(&["w0"]);
+    let task = bench.submit(tasks(2, false));
+    let effects = bench.advance(30);
+    bench.store(&effects);
+    let end = ListedEnd {
+        sequence: 1,
+        task: Some(task),
+        number: 1,
+        kind: Some(EndKind::Done),
+        checkpoint: None,
+    };
+    let now = bench.now;
+    bench.report("w0", now, Vec::new(), vec![end]);
+    let effects = bench.advance(30);
+    let is_acknowledged = |effects: &[Effect]| {
+        effects
+            .iter()
+            .any(|effect| matches!(effect, Effect::Look { ends_stored, .. } if *ends_stored > 0))
+    };
+    assert!(!is_acknowledged(&effects), "the append is only under way");
+    bench.store(&effects);
+    let effects = bench.advance(30);
+    assert!(is_acknowledged(&effects));
+}
+
+/// Guards against starts without a ticket, and against tickets that have lapsed.
+#[test]
+fn a_queue_with_a_policy_starts_only_with_valid_tickets() {
+    let terms = AdviceTerms {
+        base: time::Duration::from_millis(10),
+        per_worker: time::Duration::from_millis(1),
+        validity: time::Duration::from_millis(1_500),
+    };
+    let mut bench = Bench::new(queue(Some(terms)));
+    bench.list(&["w0", "w1"]);
+    bench.submit(tasks(1, false));
+    let effects = bench.advance(30);
+    let question = effects
+        .iter()
+        .find_map(|effect| match effect {
+            Effect::Advise(question) => Some(question.clone()),
+            _ => None,
+        })
+        .expect("the adviser is asked");
+    bench.store(&effects);
+    let answer = Advice { eligible: vec![("w1".into(), "ticket".to_owned())], valid_ms: 1_500 };
+    bench.act(|decider, context| decider.on_advice(context, question.ticket, Some(&answer)));
+    let effects = bench.advance(30);
+    // The log answers only when the ticket has lapsed.
+    bench.now += time::Duration::from_millis(950);
+    let late = bench.store(&effects);
+    assert_eq!(starts(&late), 1, "the ticket is still valid");
+    let Some(Effect::Start { target, order, .. }) =
+        late.iter().find(|effect| matches!(effect, Effect::Start { .. }))
+    else {
+        unreachable!("a start was counted");
+    };
+    assert_eq!((&*target.worker, order.ticket.as_deref()), ("w1", Some("ticket")));
+}
--- /dev/null
+++ b/crates/cell/tests/sim/worker.rs
@@ -0,0 +1,195 @@
+//! A worker in memory, by the published protocol: fencing, leases, run numbers, ends.
+
+use std::collections::BTreeMap;
+
+use pier_cell::event::{ListedEnd, ListedRun, LookAnswer, RejectReason, StartAnswer};
+use pier_cell::job::{RunNumber, TaskRef};
+use pier_cell::run::EndKind;
+use pier_core::resources::Resources;
+
+/// A run on a worker.
+#[derive(Debug, Clone)]
+pub struct Running {
+    pub number: RunNumber,
+    pub ends_at_ms: u64,
+    pub kind: EndKind,
+    pub need: Resources,
+}
+
+/// One lifetime of a worker.
+#[derive(Debug)]
+pub struct SimWorker {
+    pub id: String,
+    pub life: u64,
+    pub zone: String,
+    pub capacity: Resources,
+    pub is_up: bool,
+    pub fence: u64,
+    pub lease_until_ms: u64,
+    pub running: BTreeMap<TaskRef, Running>,
+    pub ended: Vec<ListedEnd>,
+    done_at_ms: BTreeMap<u64, u64>,
+    lapsed_at_ms: u64,
+    /// Runs that ended as done and whose end was acknowledged: the task and the time of the end.
+    pub noted: Vec<(TaskRef, u64)>,
+    barred: BTreeMap<TaskRef, RunNumber>,
+    sequence: u64,
+}
+
+impl SimWorker {
+    pub fn new(id: &str, life: u64, zone: &str, capacity: Resources) -> Self {
+        Self {
+            id: id.to_owned(),
+            life,
+            zone: zone.to_owned(),
+            capacity,
+            is_up: true,
+            fence: 0,
+            lease_until_ms: 0,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            done_at_ms: BTreeMap::new(),
+            lapsed_at_ms: 0,
+            noted: Vec::new(),
+            barred: BTreeMap::new(),
+            sequence: 0,
+        }
+    }
+
+    /// The worker's clock counts from its start.
+    pub fn clock_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.life)
+    }
+
+    pub fn used(&self) -> Resources {
+        let mut used = Resources::ZERO;
+        for run in self.running.values() {
+            used = used.plus(&run.need);
+        }
+        used
+    }
+
+    fn end(&mut self, task: &TaskRef, kind: EndKind) {
+        let Some(run) = self.running.remove(task) else {
+            return;
+        };
+        self.sequence += 1;
+        let barred = self.barred.entry(task.clone()).or_default();
+        *barred = (*barred).max(run.number);
+        self.ended.push(ListedEnd {
+            sequence: self.sequence,
+            task: Some(task.clone()),
+            number: run.number,
+            kind: Some(kind),
+            checkpoint: None,
+        });
+    }
+
+    /// Ends what is over.
+    pub fn pass_time(&mut self, now_ms: u64) {
+        if !self.is_up {
+            return;
+        }
+        let lapsed = self.clock_ms(now_ms) > self.lease_until_ms;
+        if lapsed {
+            self.lapsed_at_ms = now_ms;
+        }
+        let tasks: Vec<TaskRef> = self.running.keys().cloned().collect();
+        for task in tasks {
+            let run = &self.running[&task];
+            if now_ms >= run.ends_at_ms {
+                let kind = run.kind;
+                self.end(&task, kind);
+                if kind == EndKind::Done {
+                    self.done_at_ms.insert(self.sequence, now_ms);
+                }
+            } else if lapsed {
+                self.end(&task, EndKind::Lapsed);
+            }
+        }
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the fields of a start")]
+    pub fn start(
+        &mut self,
+        now_ms: u64,
+        token: u64,
+        task: &TaskRef,
+        number: RunNumber,
+        lease_until_ms: u64,
+        run_ms: u64,
+        kind: EndKind,
+        need: Resources,
+    ) -> StartAnswer {
+        let clock_ms = self.clock_ms(now_ms);
+        let rejected = |reason| StartAnswer::Rejected { reason };
+        if token < self.fence {
+            return rejected(RejectReason::Fenced);
+        }
+        self.fence = token;
+        self.lease_until_ms = self.lease_until_ms.max(lease_until_ms);
+        if self.running.get(task).is_some_and(|run| run.number == number) {
+            return StartAnswer::Started { clock_ms };
+        }
+        if self.barred.get(task).is_some_and(|barred| number <= *barred) {
+            return rejected(RejectReason::StaleRun);
+        }
+        if clock_ms > lease_until_ms {
+            return rejected(RejectReason::Late);
+        }
+        let run = Running { number, ends_at_ms: now_ms + run_ms, kind, need };
+        self.running.insert(task.clone(), run);
+        StartAnswer::Started { clock_ms }
+    }
+
+    pub fn stop(&mut self, token: u64, task: &TaskRef, number: RunNumber) -> bool {
+        if token < self.fence {
+            return false;
+        }
+        self.fence = token;
+        let barred = self.barred.entry(task.clone()).or_default();
+        *barred = (*barred).max(number);
+        if self.running.get(task).is_some_and(|run| run.number <= number) {
+            self.end(task, EndKind::Stopped);
+        }
+        true
+    }
+
+    pub fn look(
+        &mut self,
+        now_ms: u64,
+        token: u64,
+        ends_stored: u64,
+        lease_until_ms: Option<u64>,
+    ) -> LookAnswer {
+        if token < self.fence {
+            return LookAnswer::Fenced;
+        }
+        self.fence = token;
+        if let Some(until_ms) = lease_until_ms {
+            self.lease_until_ms = self.lease_until_ms.max(until_ms);
+        }
+        let forgotten = ends_stored;
+        for end in &self.ended {
+            let done_at_ms = self.done_at_ms.get(&end.sequence).copied();
+            let (Some(done_at_ms), Some(task)) = (done_at_ms, &end.task) else {
+                continue;
+            };
+            // An end from before the lease lapsed does not count.
+            if end.sequence <= forgotten && self.lapsed_at_ms < done_at_ms {
+                self.noted.push((task.clone(), done_at_ms));
+            }
+        }
+        self.ended.retain(|end| end.sequence > forgotten);
+        let mut running = Vec::new();
+        for (task, run) in &self.running {
+            running.push(ListedRun { task: task.clone(), number: run.number, checkpoint: None });
+        }
+        LookAnswer::Report {
+            clock_ms: self.clock_ms(now_ms),
+            life: Some(self.life),
+            running,
+            ended: self.ended.clone(),
+        }
+    }
+}
