Ask about workers that came after a gang was first asked for, and give up kept workers that left

The adviser was asked while most workers were away; later ones were only asked about when the gang already fitted.

Change: unknown workers are always of interest; workers kept for a gang are given up when one leaves or when the account's limit is in the way; gangs beyond their account's limit are rejected at once.

--- a/crates/cell/src/advice.rs
+++ b/crates/cell/src/advice.rs
@@ -18,6 +18,15 @@
 /// The pause after a question without an answer.
 const RETRY: time::Duration = time::Duration::from_millis(300);
 
+/// Whether a question may name workers whose tickets have lapsed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Renewal {
+    /// Only workers that nothing is known of.
+    No,
+    /// Also those whose tickets run out within this time.
+    Ahead(time::Duration),
+}
+
 /// A ticket for a worker.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Ticket {
@@ -58,13 +67,12 @@
         (ticket.valid_until > now.saturating_add(TICKET_MARGIN)).then_some(ticket)
     }
 
-    /// The workers to ask about: first those that nothing is known of, in the order of
-    /// `candidates`, then those whose tickets run out within `ahead`. `candidates` are workers that
-    /// have room or are kept for the step.
+    /// The workers to ask about, in the order of `candidates`: first those whose tickets are to be
+    /// renewed, then those that nothing is known of.
     pub fn next_question(
         &self,
         now: time::Duration,
-        ahead: time::Duration,
+        renewal: Renewal,
         candidates: &[ids::WorkerId],
     ) -> Option<Vec<ids::WorkerId>> {
         if self.asked.is_some() || now < self.retry_at {
@@ -74,7 +82,9 @@
         let mut renewable = Vec::new();
         for worker in candidates {
             if let Some(ticket) = self.eligible.get(worker) {
-                if ticket.valid_until <= now.saturating_add(TICKET_MARGIN).saturating_add(ahead) {
+                if let Renewal::Ahead(ahead) = renewal
+                    && ticket.valid_until <= now + TICKET_MARGIN + ahead
+                {
                     renewable.push(ids::WorkerId::clone(worker));
                 }
                 continue;
--- a/crates/cell/src/decider/intake.rs
+++ b/crates/cell/src/decider/intake.rs
@@ -10,6 +10,7 @@
 use crate::job::{JobSpec, JobState};
 use crate::ledger::LiveJob;
 use crate::peer::Verdict;
+use crate::place;
 use crate::progress::Progress;
 
 /// Submissions are rejected when nothing was stored for so long: callers should not wait for a log
@@ -72,8 +73,15 @@
                 largest = largest.max(&worker.entry.capacity);
             }
         }
-        let fits = spec.steps.iter().all(|step| step.need.fits_in(&largest));
-        (!fits).then_some(("no worker is large enough", RETRY_TOO_LARGE))
+        if !spec.steps.iter().all(|step| step.need.fits_in(&largest)) {
+            return Some(("no worker is large enough", RETRY_TOO_LARGE));
+        }
+        let account = spec.account.as_ref().and_then(|name| context.directory.account(name))?;
+        let is_within_cap = spec.steps.iter().all(|step| {
+            let at_once = if step.gang { step.tasks } else { 1 };
+            place::times(&step.need, &account.cap) >= at_once
+        });
+        (!is_within_cap).then_some(("the account's limit is too small", RETRY_TOO_LARGE))
     }
 
     /// Cancels a job. The verdict comes when that is stored.
--- a/crates/cell/src/decider/schedule.rs
+++ b/crates/cell/src/decider/schedule.rs
@@ -6,6 +6,7 @@
 use pier_core::ids;
 use pier_core::resources::Resources;
 
+use crate::advice::Renewal;
 use crate::decider::{Asked, Context, Decider};
 use crate::directory::{AdviceTerms, Queue};
 use crate::effect::Effect;
@@ -79,7 +80,7 @@
             }
             let mut is_keeping = false;
             if candidate.step().gang && keeping < MOST_KEEPING {
-                is_keeping = self.keep_workers(candidate, &open, queue);
+                is_keeping = self.keep_workers(candidate, &open, queue, &limit);
                 if is_keeping {
                     keeping += 1;
                     still_keeping.push(candidate.key());
@@ -236,18 +237,37 @@
     }
 
     /// Keeps workers for a gang that does not fit now. Returns whether it keeps any.
-    fn keep_workers(&mut self, candidate: &Candidate, open: &[Room], queue: &Queue) -> bool {
+    fn keep_workers(
+        &mut self,
+        candidate: &Candidate,
+        open: &[Room],
+        queue: &Queue,
+        limit: &Resources,
+    ) -> bool {
         let key = candidate.key();
-        if self.kept.values().any(|(job, step, _)| *job == key.0 && *step == key.1) {
+        let waiting = candidate.waiting.len();
+        let held = self.kept.iter().filter(|(_, (job, step, _))| *job == key.0 && *step == key.1);
+        let mut held_count = 0;
+        let mut is_held_open = true;
+        for (worker, _) in held {
+            held_count += 1;
+            is_held_open = is_held_open && open.iter().any(|room| room.worker == *worker);
+        }
+        if held_count > 0 && is_held_open {
             return true;
         }
+        self.kept.retain(|_, (job, step, _)| *job != key.0 || *step != key.1);
+        // Workers are of no use while the account's limit is in the way.
+        if place::times(&candidate.step().need, limit) < waiting {
+            return false;
+        }
         let mut rooms = open.to_vec();
         if queue.advice.is_some() {
             rooms.retain(|room| {
                 self.advice.get(&key).is_some_and(|advice| advice.is_eligible(&room.worker))
             });
         }
-        let Some(kept) = place::keep(candidate.step(), candidate.waiting.len(), &rooms) else {
+        let Some(kept) = place::keep(candidate.step(), waiting, &rooms) else {
             return false;
         };
         tracing::info!(job = %candidate.job, step = candidate.step, workers = kept.len(),
@@ -276,24 +296,29 @@
         let advice = self.advice.entry(candidate.key()).or_default();
         let is_first = advice.eligible().next().is_none();
         open.sort_by_key(|room| std::cmp::Reverse(room.free.dominant_share_ppm(&room.capacity)));
-        let mut ahead = time::Duration::ZERO;
         if step.gang {
             open.retain(|room| place::times(&step.need, &room.capacity) > 0);
-            if !is_first {
-                let mut eligible = open.clone();
-                eligible.retain(|room| advice.is_eligible(&room.worker));
-                let fits = place::place(step, candidate.waiting.len(), limit, &mut eligible).len()
-                    == candidate.waiting.len();
-                if !fits && !is_keeping {
-                    return;
-                }
-                ahead = terms.base;
-            }
         } else if !is_first {
             open.retain(|room| step.need.fits_in(&room.free) && room.spread_left > 0);
         }
-        let names: Vec<ids::WorkerId> = open.into_iter().map(|room| room.worker).collect();
-        let Some(workers) = advice.next_question(context.now, ahead, &names) else {
+        let names: Vec<ids::WorkerId> =
+            open.iter().map(|room| ids::WorkerId::clone(&room.worker)).collect();
+        // Tickets of a gang are renewed only while they can be of use: it fits now, or workers are
+        // kept for it. Workers that nothing is known of are always of interest.
+        let renewal = if !step.gang {
+            Renewal::Ahead(time::Duration::ZERO)
+        } else if is_keeping {
+            Renewal::Ahead(terms.base)
+        } else {
+            open.retain(|room| advice.is_eligible(&room.worker));
+            let waiting = candidate.waiting.len();
+            if place::place(step, waiting, limit, &mut open).len() == waiting {
+                Renewal::Ahead(time::Duration::ZERO)
+            } else {
+                Renewal::No
+            }
+        };
+        let Some(workers) = advice.next_question(context.now, renewal, &names) else {
             return;
         };
         advice.note_asked(workers.clone());
--- a/crates/cell/tests/decider.rs
+++ b/crates/cell/tests/decider.rs
@@ -27,6 +27,8 @@
     ledger: Ledger,
     decider: Option<Decider>,
     end: u64,
+    /// Starts that were sent after an append was stored.
+    started: usize,
 }
 
 impl Bench {
@@ -45,6 +47,7 @@
             ledger: Ledger::default(),
             decider: None,
             end: 100,
+            started: 0,
         };
         let decider = {
             let mut effects = Vec::new();
@@ -80,7 +83,8 @@
         self.act(|decider, context| decider.advance(context))
     }
 
-    fn list(&mut self, ids: &[&str]) {
+    /// Lists workers, which are looked at. Returns what the decider did after that.
+    fn list(&mut self, ids: &[&str]) -> Vec<Effect> {
         let records = ids.iter().map(|id| (0, record(id))).collect();
         let learned = Learned { is_restart: true, records, is_at_tail: true };
         self.act(|decider, context| decider.on_workers(context, learned));
@@ -95,6 +99,7 @@
         self.now += time::Duration::from_millis(400);
         let effects = self.advance(0);
         self.store(&effects);
+        effects
     }
 
     fn report(
@@ -138,6 +143,7 @@
                 decider.on_appended(context, ticket, answer);
             }));
         }
+        self.started += starts(&stored);
         stored
     }
 
@@ -385,3 +391,118 @@
     };
     assert_eq!((&*target.worker, order.ticket.as_deref()), ("w1", Some("ticket")));
 }
+
+fn question(effects: &[Effect]) -> Option<pier_cell::peer::Question> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Advise(question) => Some(question.clone()),
+        _ => None,
+    })
+}
+
+fn terms() -> AdviceTerms {
+    AdviceTerms {
+        base: time::Duration::from_millis(10),
+        per_worker: time::Duration::from_millis(1),
+        validity: time::Duration::from_millis(1_500),
+    }
+}
+
+/// Guards against a gang that waits for ever in an empty cell: the adviser was asked while most
+/// workers were away, and the few eligible ones of then are too few.
+#[test]
+fn a_gang_asks_about_workers_that_came_later() {
+    let mut bench = Bench::new(queue(Some(terms())));
+    bench.list(&["w0"]);
+    bench.submit(tasks(2, true));
+    let effects = bench.advance(30);
+    let first = question(&effects).expect("the adviser is asked");
+    bench.store(&effects);
+    let answer = Advice { eligible: vec![("w0".into(), "t0".to_owned())], valid_ms: 1_500 };
+    bench.act(|decider, context| decider.on_advice(context, first.ticket, Some(&answer)));
+    let effects = bench.list(&["w0", "w1"]);
+    let mut second = question(&effects);
+    for _ in 0..4 {
+        let effects = bench.advance(100);
+        second = second.or(question(&effects));
+        bench.store(&effects);
+    }
+    let second = second.expect("the adviser is asked about the new worker");
+    assert_eq!(second.workers, vec![pier_core::ids::WorkerId::from("w1")]);
+}
+
+/// Guards against workers that are kept for a gang and never used: one of them has left, or the
+/// gang's account is at its limit.
+#[test]
+fn kept_workers_are_given_up_when_one_of_them_leaves() {
+    let mut bench = Bench::new(queue(None));
+    bench.list(&["w0", "w1"]);
+    let mut wide = tasks(2, true);
+    wide[0].estimate_ms = 1_000;
+    // A single task fills a worker, so the gang has to wait and keeps both.
+    let spec = JobSpec {
+        id: "busy".into(),
+        queue: "queue".into(),
+        account: Some("team".into()),
+        payload: "text".into(),
+        steps: tasks(1, false),
+    };
+    bench.act(|decider, context| {
+        decider.on_submit(context, Origin::Local(9), sync::Arc::new(spec));
+    });
+    let effects = bench.advance(30);
+    bench.store(&effects);
+    bench.submit(wide);
+    let effects = bench.advance(30);
+    bench.store(&effects);
+    // One of the two leaves; two others come, on which the gang fits.
+    bench.list(&["w1", "w2", "w3"]);
+    for _ in 0..4 {
+        let effects = bench.advance(100);
+        bench.store(&effects);
+    }
+    assert_eq!(bench.started, 3, "the single task and both of the gang");
+}
+
+/// Guards against leases that end in an outage of the log: ends that were read cannot be stored, and
+/// the runs beside them must go on.
+#[test]
+fn leases_are_extended_while_ends_cannot_be_stored() {
+    let mut bench = Bench::new(queue(None));
+    bench.list(&["w0"]);
+    let mut steps = tasks(2, false);
+    steps[0].need = cores(2);
+    let task = bench.submit(steps);
+    let effects = bench.advance(30);
+    bench.store(&effects);
+    let end = ListedEnd {
+        sequence: 1,
+        task: Some(task),
+        number: 1,
+        kind: Some(EndKind::Done),
+        checkpoint: None,
+    };
+    let look = bench.advance(30);
+    let sent_at = look
+        .iter()
+        .find_map(|effect| match effect {
+            Effect::Look { sent_at, .. } => Some(*sent_at),
+            _ => None,
+        })
+        .unwrap_or(bench.now);
+    let other = TaskRef { job: "job".into(), step: 0, index: 1 };
+    let running = vec![ListedRun { task: other, number: 1, checkpoint: None }];
+    bench.report("w0", sent_at, running, vec![end]);
+    let mut extended = 0;
+    // The log answers nothing for four seconds.
+    for _ in 0..40 {
+        for effect in bench.advance(100) {
+            let Effect::Look { sent_at, ends_stored, lease_until_ms, .. } = effect else {
+                continue;
+            };
+            assert_eq!(ends_stored, 0, "nothing may be acknowledged");
+            extended += usize::from(lease_until_ms.is_some());
+            bench.report("w0", sent_at, Vec::new(), Vec::new());
+        }
+    }
+    assert!(extended >= 3, "{extended} looks extended the leases in four seconds");
+}
