Place first what can still meet its objective

Ruled out: rejecting the excess, because the objective counts from the first attempt.

Change: a pure order by standing (in time, late, beyond the account's share, overdue), then priority, then the time by which the rest must start; accounts have a share by weight.

--- a/crates/cell/src/decider/intake.rs
+++ b/crates/cell/src/decider/intake.rs
@@ -7,7 +7,7 @@
 use pier_core::resources::Resources;
 
 use crate::decider::{Context, Decider, Origin};
-use crate::job::{JobSpec, JobState};
+use crate::job::{AccountId, JobSpec, JobState};
 use crate::ledger::LiveJob;
 use crate::peer::Verdict;
 use crate::place;
@@ -42,8 +42,16 @@
             self.reply(context, origin, verdict);
             return;
         }
+        let account = spec.account.as_ref().and_then(|name| context.directory.account(name));
+        let is_beyond_share = account.is_some_and(|account| {
+            let share_use = self.share_use.entry(AccountId::clone(&account.name)).or_default();
+            share_use.count(context.now, account)
+        });
+        if is_beyond_share {
+            self.beyond_share.insert(ids::JobId::clone(&id));
+        }
         tracing::info!(job = %id, queue = %spec.queue, account = spec.account.as_deref(),
-            steps = spec.steps.len(), version = context.directory.version, "job taken");
+            is_beyond_share, steps = spec.steps.len(), version = context.directory.version, "job taken");
         let progress = Progress::new(&spec);
         let job = LiveJob { accepted_wall_ms: context.wall_ms, spec, progress };
         context.ledger.live.insert(ids::JobId::clone(&id), job);
--- a/crates/cell/src/decider/mod.rs
+++ b/crates/cell/src/decider/mod.rs
@@ -20,6 +20,7 @@
 use crate::job::{AccountId, JobState, RunNumber, StepIndex, TaskRef};
 use crate::ledger::{EndedJob, Ledger};
 use crate::options::Options;
+use crate::order::ShareUse;
 use crate::peer::{Message, Verdict};
 use crate::progress::Phase;
 use crate::record::{Batch, Change, Claim, JobRecord, Record};
@@ -112,6 +113,8 @@
     runs: BTreeMap<TaskRef, Run>,
     stopping: BTreeSet<TaskRef>,
     account_used: Map<AccountId, Resources>,
+    share_use: Map<AccountId, ShareUse>,
+    beyond_share: BTreeSet<ids::JobId>,
     advice: BTreeMap<(ids::JobId, StepIndex), StepAdvice>,
     asked: BTreeMap<ids::Ticket, Asked>,
     peers: BTreeSet<ids::HostId>,
@@ -254,6 +257,7 @@
         };
         let queue = ids::QueueId::clone(&job.spec.queue);
         context.ledger.live.remove(id);
+        self.beyond_share.remove(id);
         let ended =
             EndedJob { queue: ids::QueueId::clone(&queue), state, ended_wall_ms: context.wall_ms };
         context.ledger.ended.insert(ids::JobId::clone(id), ended);
--- a/crates/cell/src/decider/schedule.rs
+++ b/crates/cell/src/decider/schedule.rs
@@ -11,6 +11,7 @@
 use crate::directory::{AdviceTerms, Queue};
 use crate::effect::Effect;
 use crate::job::{JobSpec, Step, StepIndex, TaskIndex, TaskRef};
+use crate::order::{self, Rank};
 use crate::peer::{Advice, Message, Question};
 use crate::place::{self, Room};
 use crate::progress::Phase;
@@ -25,8 +26,7 @@
 
 /// A step with tasks that may start.
 struct Candidate {
-    priority: u32,
-    accepted_wall_ms: u64,
+    rank: Rank,
     job: ids::JobId,
     step: StepIndex,
     spec: sync::Arc<JobSpec>,
@@ -95,9 +95,10 @@
         });
     }
 
-    /// The steps that may start, the most urgent first and the oldest first among equals.
+    /// The steps that may start, in the order in which they are placed.
     fn candidates(&self, context: &Context<'_>) -> Vec<Candidate> {
         let mut candidates = Vec::new();
+        let zero = time::Duration::ZERO;
         for (id, job) in &context.ledger.live {
             if job.progress.verdict.is_some() {
                 continue;
@@ -105,6 +106,7 @@
             let Some(queue) = context.directory.queue(&job.spec.queue) else {
                 continue;
             };
+            let mut chains = None;
             for (step, tasks) in job.progress.steps.iter().enumerate() {
                 let mut waiting = Vec::new();
                 for (index, task) in tasks.iter().enumerate() {
@@ -117,9 +119,16 @@
                 if waiting.is_empty() || !is_whole || !job.progress.is_ready(&job.spec, step) {
                     continue;
                 }
+                let rank = order::rank(
+                    queue,
+                    &job.spec,
+                    job.accepted_wall_ms,
+                    context.wall_ms,
+                    *chains.get_or_insert_with(|| job.spec.chains()).get(step).unwrap_or(&zero),
+                    self.beyond_share.contains(id),
+                );
                 candidates.push(Candidate {
-                    priority: queue.priority,
-                    accepted_wall_ms: job.accepted_wall_ms,
+                    rank,
                     job: ids::JobId::clone(id),
                     step,
                     spec: sync::Arc::clone(&job.spec),
@@ -127,14 +136,7 @@
                 });
             }
         }
-        candidates.sort_by(|a, b| {
-            (a.priority, a.accepted_wall_ms, &a.job, a.step).cmp(&(
-                b.priority,
-                b.accepted_wall_ms,
-                &b.job,
-                b.step,
-            ))
-        });
+        candidates.sort_by(|a, b| (a.rank, &a.job, a.step).cmp(&(b.rank, &b.job, b.step)));
         candidates
     }
 
--- a/crates/cell/src/decider/takeover.rs
+++ b/crates/cell/src/decider/takeover.rs
@@ -51,6 +51,8 @@
             runs: BTreeMap::new(),
             stopping: BTreeSet::new(),
             account_used: Map::default(),
+            share_use: Map::default(),
+            beyond_share: BTreeSet::new(),
             advice: BTreeMap::new(),
             asked: BTreeMap::new(),
             peers: BTreeSet::new(),
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -85,19 +85,25 @@
 impl JobSpec {
     /// The work of the longest chain of dependent steps, by the estimates.
     pub fn longest_chain(&self) -> time::Duration {
-        let mut ends = Vec::with_capacity(self.steps.len());
         let mut longest = time::Duration::ZERO;
-        for step in &self.steps {
-            let mut start = time::Duration::ZERO;
-            for before in &step.after {
-                start = start.max(ends.get(*before).copied().unwrap_or_default());
-            }
-            let end = start.saturating_add(step.estimate());
-            longest = longest.max(end);
-            ends.push(end);
+        for left in self.chains() {
+            longest = longest.max(left);
         }
         longest
     }
+
+    /// For each step the work of the longest chain that begins with it, by the estimates.
+    pub fn chains(&self) -> Vec<time::Duration> {
+        let mut chains: Vec<time::Duration> = self.steps.iter().map(Step::estimate).collect();
+        // A step comes after earlier ones only, so the later ones are complete.
+        for index in (0..self.steps.len()).rev() {
+            for before in &self.steps[index].after {
+                let through = self.steps[*before].estimate().saturating_add(chains[index]);
+                chains[*before] = chains[*before].max(through);
+            }
+        }
+        chains
+    }
 }
 
 /// A task of a job.
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod job;
 pub mod ledger;
 pub mod options;
+pub mod order;
 pub mod peer;
 pub mod place;
 pub mod progress;
