Let a decider that does not reach the log say so, and stagger claims less

Change: the decider tells its peers after 400 ms without success; a host whose own reads succeed then claims after 500 ms. Only a read that resolves an append is taken, and a process begins at most once under a token. An empty long poll counts as a view from its end.

--- a/crates/cell/src/decider/mod.rs
+++ b/crates/cell/src/decider/mod.rs
@@ -76,6 +76,10 @@
     releases: bool,
     /// An attempt was not answered, so that the records may already be there.
     is_unsure: bool,
+    /// A read is under way that tells whether an earlier attempt was carried out.
+    is_resolving: bool,
+    /// When it was sent first.
+    sent_at: time::Duration,
     /// When it is to be sent again; none while a call is under way.
     retry_at: Option<time::Duration>,
 }
@@ -100,6 +104,7 @@
     last_append_at: time::Duration,
     last_stored_at: time::Duration,
     last_schedule_at: time::Duration,
+    log_lost_told_at: time::Duration,
     /// Something has happened since the last look at what may start.
     has_news: bool,
     dirty: BTreeSet<ids::JobId>,
@@ -181,6 +186,7 @@
         self.send_stops(context);
         self.send_looks(context);
         self.give_up_questions(context);
+        self.tell_log_lost(context);
         if let Some(append) = &mut self.in_flight {
             if append.retry_at.is_some_and(|at| context.now >= at) {
                 append.retry_at = None;
@@ -206,6 +212,23 @@
         }
     }
 
+    /// Tells the other hosts that this one does not reach the log, so that one that does can claim.
+    fn tell_log_lost(&mut self, context: &mut Context<'_>) {
+        let Some(append) = &self.in_flight else {
+            return;
+        };
+        let is_lost = context.now >= append.sent_at.saturating_add(context.options.log_loss);
+        let is_told = context.now < self.log_lost_told_at.saturating_add(context.options.log_loss);
+        if !is_lost || is_told {
+            return;
+        }
+        self.log_lost_told_at = context.now;
+        for host in &self.peers {
+            let message = Message::LogLost { token: self.token };
+            context.effects.push(Effect::Send { to: ids::HostId::clone(host), message });
+        }
+    }
+
     fn append(&mut self, context: &mut Context<'_>) {
         let sequence = self.ticket();
         let mut records = vec![Record::batch(&Batch { incarnation: self.incarnation, sequence })];
@@ -227,6 +250,8 @@
             ends: std::mem::take(&mut self.ends),
             releases: self.release.is_some(),
             is_unsure: false,
+            is_resolving: false,
+            sent_at: context.now,
             retry_at: None,
         };
         self.last_append_at = context.now;
@@ -312,6 +337,7 @@
             AppendAnswer::Moved if append.is_unsure => {
                 // Either an earlier attempt was carried out after all, or another host has claimed.
                 let read = Read::From { offset: self.end, wait: time::Duration::ZERO };
+                append.is_resolving = true;
                 let timeout = context.options.log_timeout;
                 context.effects.push(Effect::Read { topic: Topic::Cell, read, timeout });
             }
@@ -326,17 +352,23 @@
         context: &mut Context<'_>,
         records: Option<&[(ids::Offset, Record)]>,
     ) {
-        let Some(append) = &mut self.in_flight else {
+        // A read from before the claim may be answered now.
+        let Some(append) = self.in_flight.as_mut().filter(|append| append.is_resolving) else {
             return;
         };
-        let Some(records) = records else {
+        if records
+            .is_some_and(|records| records.first().is_some_and(|(offset, _)| *offset < self.end))
+        {
+            return;
+        }
+        append.is_resolving = false;
+        let Some(records) = records.filter(|records| !records.is_empty()) else {
             append.retry_at = Some(context.now.saturating_add(context.options.log_retry));
             return;
         };
         let own = Batch { incarnation: self.incarnation, sequence: append.ticket };
-        let is_own = records.first().is_some_and(|(offset, record)| {
-            *offset == self.end
-                && matches!(record.to_change(), Ok(Some(Change::Batch(batch))) if batch == own)
+        let is_own = records.first().is_some_and(|(_, record)| {
+            matches!(record.to_change(), Ok(Some(Change::Batch(batch))) if batch == own)
         });
         if !is_own || records.len() > append.records.len() {
             self.deposed = Some("another host has claimed");
--- a/crates/cell/src/decider/takeover.rs
+++ b/crates/cell/src/decider/takeover.rs
@@ -39,6 +39,7 @@
             last_append_at: context.now,
             last_stored_at: context.now,
             last_schedule_at: context.now,
+            log_lost_told_at: time::Duration::ZERO,
             has_news: true,
             dirty: BTreeSet::new(),
             accepted: BTreeSet::new(),
--- a/crates/cell/src/follow.rs
+++ b/crates/cell/src/follow.rs
@@ -96,6 +96,7 @@
     phase: Phase<T>,
     gap: time::Duration,
     asked_at: Option<time::Duration>,
+    waited: time::Duration,
     next_at: time::Duration,
     as_of: Option<time::Duration>,
     is_failing: bool,
@@ -108,13 +109,19 @@
             phase: Phase::Newest { after: None, end: None, items: Vec::new() },
             gap,
             asked_at: None,
+            waited: time::Duration::ZERO,
             next_at: time::Duration::ZERO,
             as_of: None,
             is_failing: false,
         }
     }
 
-    /// The time of asking of the last answer that reached the tail.
+    /// Whether the last call failed.
+    pub fn is_failing(&self) -> bool {
+        self.is_failing
+    }
+
+    /// When the log last was as the follower has seen it, at the least.
     pub fn as_of(&self) -> Option<time::Duration> {
         self.as_of
     }
@@ -138,6 +145,7 @@
             return None;
         }
         self.asked_at = Some(now);
+        self.waited = options.read_wait;
         Some(match &self.phase {
             Phase::Newest { after, .. } => Read::Newest { after: after.clone() },
             Phase::Tail { next } => Read::From { offset: *next, wait: options.read_wait },
@@ -175,14 +183,17 @@
         now: time::Duration,
         stretch: Stretch<T>,
     ) -> Option<Learned<T>> {
+        let waited = self.waited;
         let asked_at = self.answered(topic)?;
         let Phase::Tail { next } = &mut self.phase else {
             return None;
         };
+        // The log answers without a record only when it has waited for as long as it was asked to.
+        let as_of = if stretch.next == *next { asked_at.saturating_add(waited) } else { asked_at };
         *next = stretch.next;
         let is_at_tail = stretch.next >= stretch.end;
         if is_at_tail {
-            self.as_of = Some(asked_at);
+            self.as_of = Some(as_of.min(now));
             self.next_at = now.max(asked_at.saturating_add(self.gap));
         } else {
             self.next_at = now;
--- a/crates/cell/src/host/claim.rs
+++ b/crates/cell/src/host/claim.rs
@@ -17,6 +17,8 @@
 
 /// Over how many steps of the stagger the hosts spread.
 const CLAIM_RANKS: u64 = 8;
+/// How long the decider's word that it does not reach the log counts. It repeats it.
+const LOG_LOST_VALIDITY: time::Duration = time::Duration::from_millis(900);
 /// How fresh the view of the log must be for a claim: older reads say little about its end.
 const CLAIM_FRESHNESS: time::Duration = time::Duration::from_millis(700);
 
@@ -36,7 +38,7 @@
     }
 
     /// How long the log must be silent before this host claims.
-    fn silence_before_claim(&self) -> time::Duration {
+    fn silence_before_claim(&self, now: time::Duration) -> time::Duration {
         let Some(placed) = &self.ledger.decider else {
             return self.claim_delay(0);
         };
@@ -48,7 +50,10 @@
         if placed.claim.host == self.me.host {
             return time::Duration::ZERO;
         }
-        if self.connected_to.as_ref() == Some(&placed.claim.host) {
+        // The decider's own word counts only for a host that does reach the log.
+        let has_lost_log = !self.cell.is_failing()
+            && self.log_lost_at.is_some_and(|at| now < at.saturating_add(LOG_LOST_VALIDITY));
+        if self.connected_to.as_ref() == Some(&placed.claim.host) && !has_lost_log {
             self.options.silence.saturating_add(delay)
         } else {
             self.options.silence_disconnected.saturating_add(delay)
@@ -73,7 +78,7 @@
         let (Some(at), Some(as_of)) = (self.cell.next_offset(), self.cell.as_of()) else {
             return;
         };
-        let silence = self.silence_before_claim();
+        let silence = self.silence_before_claim(now);
         let is_silent = now >= self.heard_at.saturating_add(silence);
         if !is_silent || now > as_of.saturating_add(CLAIM_FRESHNESS.max(self.options.read_wait * 2))
         {
@@ -146,7 +151,10 @@
         let Some(end) = self.cell.next_offset() else {
             return;
         };
-        if is_mine && !self.is_decider() && !self.is_stopping {
+        // What this process had decided under an earlier claim is forgotten; it claims anew.
+        let is_new =
+            self.ledger.decider.as_ref().is_some_and(|placed| placed.token > self.last_token);
+        if is_mine && is_new && !self.is_decider() && !self.is_stopping {
             self.begin(now, wall_ms, end, out);
         }
     }
@@ -175,6 +183,8 @@
         for host in &self.peers {
             decider.on_peer(host);
         }
+        self.last_token = token;
+        self.log_lost_at = None;
         self.role = Role::Deciding(Box::new(decider));
         self.workers.restart(now);
         self.connected_to = None;
@@ -192,7 +202,7 @@
     }
 
     /// Keeps the connection to the decider that the log names.
-    pub(super) fn connect(&mut self, out: &mut Vec<Effect>) {
+    pub(super) fn connect(&mut self, now: time::Duration, out: &mut Vec<Effect>) {
         let mut wanted = None;
         if !self.is_decider()
             && let Some(placed) = &self.ledger.decider
@@ -206,6 +216,7 @@
             return;
         }
         self.connected_to = None;
+        self.disconnected_at = now;
         self.wanted_connection.clone_from(&wanted);
         out.push(Effect::Connect { decider: wanted });
     }
--- a/crates/cell/src/host/mod.rs
+++ b/crates/cell/src/host/mod.rs
@@ -84,6 +84,10 @@
     connected_to: Option<ids::HostId>,
     wanted_connection: Option<(ids::HostId, sync::Arc<str>)>,
     disconnected_at: time::Duration,
+    /// When the decider last said that it does not reach the log.
+    log_lost_at: Option<time::Duration>,
+    /// The fencing token of this host's last time as decider.
+    last_token: u64,
     is_ready: bool,
     is_stopping: bool,
 }
@@ -108,6 +112,8 @@
             connected_to: None,
             wanted_connection: None,
             disconnected_at: time::Duration::ZERO,
+            log_lost_at: None,
+            last_token: 0,
             is_ready: false,
             is_stopping: false,
             options,
@@ -245,7 +251,7 @@
         } else if let Some(read) = self.cell.poll(now, &self.options) {
             out.push(Effect::Read { topic: Topic::Cell, read, timeout });
         }
-        self.connect(out);
+        self.connect(now, out);
         self.pass_calls(now, wall_ms, out);
         for (ticket, answer) in self.calls.give_up(now, self.has_decider(), &self.options) {
             out.push(Effect::Answer { ticket, answer });
@@ -348,6 +354,11 @@
     ) {
         match message {
             Message::Alive => {}
+            Message::LogLost { token } => {
+                if self.decider_token() == Some(token) {
+                    self.log_lost_at = Some(now);
+                }
+            }
             Message::Hello { host } => {
                 if self.wanted_connection.as_ref().is_some_and(|(decider, _)| *decider == host) {
                     tracing::info!(decider = %host, "connected to the decider");
--- a/crates/cell/src/options.rs
+++ b/crates/cell/src/options.rs
@@ -32,10 +32,13 @@
     /// The longest time between two appends. Others take a decider that is silent for longer than
     /// `silence` as gone.
     pub heartbeat: time::Duration,
-    /// How long the log is without a record before another host claims the decider's place.
+    /// How long the log is without a record before another host claims the decider's place although
+    /// the decider's connection is alive: the log may only be slow.
     pub silence: time::Duration,
     /// The same when the decider's connection has broken too.
     pub silence_disconnected: time::Duration,
+    /// How long an append is without success before the decider says that it does not reach the log.
+    pub log_loss: time::Duration,
     /// How much later each further host claims, so that they seldom race.
     pub claim_stagger: time::Duration,
     /// How long leases are extended after the last append, so that an outage of the log ends no
@@ -75,9 +78,10 @@
             log_retry: millis(100),
             append_gap: millis(25),
             heartbeat: millis(300),
-            silence: millis(1_200),
+            silence: millis(2_000),
             silence_disconnected: millis(500),
-            claim_stagger: millis(150),
+            log_loss: millis(400),
+            claim_stagger: millis(40),
             extend_without_log: millis(6_000),
             order_timeout: millis(700),
             order_age: millis(1_000),
--- a/crates/cell/src/peer.rs
+++ b/crates/cell/src/peer.rs
@@ -17,6 +17,11 @@
     },
     /// The connection is alive.
     Alive,
+    /// The decider does not reach the log.
+    LogLost {
+        /// Its fencing token.
+        token: u64,
+    },
     /// A job that a caller submitted.
     Submit {
         /// Names the call in the answer.
--- a/crates/cell/tests/cell_faults.rs
+++ b/crates/cell/tests/cell_faults.rs
@@ -87,6 +87,56 @@
     check(&sim);
 }
 
+/// The time from `at_ms` until the first start of what is submitted then, at other hosts.
+fn first_start_after(sim: &mut Sim, decider: usize, at_ms: u64) -> u64 {
+    for index in 0..sim.hosts.len() {
+        if index != decider {
+            sim.submit(index, &format!("after{index:011}"), "urgent", vec![step(1, 1)]);
+        }
+    }
+    sim.run_for(4_000);
+    let first = sim.seen.start_times_ms.iter().find(|start| **start > at_ms + 100);
+    first.map_or(u64::MAX, |start| start - at_ms)
+}
+
+/// Guards against a long time without starts when the store turns only the decider away.
+#[test]
+fn starts_go_on_within_two_seconds_when_the_decider_is_cut_from_the_store() {
+    for seed in 0..10 {
+        let mut sim = Sim::new(seed, 5, 8);
+        sim.run_for(2_000);
+        let mut count = 0;
+        load(&mut sim, 2, &mut count);
+        let decider = sim.decider().expect("a decider");
+        sim.hosts[decider].is_cut_from_store = true;
+        let at_ms = sim.now_ms;
+        let after_ms = first_start_after(&mut sim, decider, at_ms);
+        assert!(after_ms <= 2_000, "seed {seed}: first start after {after_ms} ms");
+        sim.hosts[decider].is_cut_from_store = false;
+        sim.run_for(10_000);
+        check(&sim);
+    }
+}
+
+/// Guards against a decider that freezes and wakes: what it had decided must neither be started
+/// late nor keep others from starting.
+#[test]
+fn starts_go_on_within_three_seconds_when_the_decider_freezes() {
+    for seed in 0..10 {
+        let mut sim = Sim::new(seed, 5, 8);
+        sim.run_for(2_000);
+        let mut count = 0;
+        load(&mut sim, 2, &mut count);
+        let decider = sim.decider().expect("a decider");
+        let at_ms = sim.now_ms;
+        sim.hosts[decider].paused_until_ms = at_ms + 4_000;
+        let after_ms = first_start_after(&mut sim, decider, at_ms);
+        assert!(after_ms <= 3_000, "seed {seed}: first start after {after_ms} ms");
+        sim.run_for(12_000);
+        check(&sim);
+    }
+}
+
 /// Guards against a new decider that asks the adviser alone: hosts that restart together connect
 /// to the decider's address before its new process has claimed the place.
 #[test]
--- a/crates/cell/tests/decider.rs
+++ b/crates/cell/tests/decider.rs
@@ -506,3 +506,17 @@
     }
     assert!(extended >= 3, "{extended} looks extended the leases in four seconds");
 }
+
+/// Guards against a decider that steps down without cause: a read that it sent as a follower is
+/// answered while its first append is under way (Kuiseb trouble-2, with a slow store).
+#[test]
+fn an_answer_to_a_read_from_before_the_claim_changes_nothing() {
+    let mut bench = Bench::new(queue(None));
+    bench.list(&["w0"]);
+    bench.submit(tasks(1, false));
+    let effects = bench.advance(30);
+    let other = pier_cell::record::Record { key: "job/other".to_owned(), value: None };
+    bench.act(|decider, context| decider.on_resolved(context, Some(&[(99, other)])));
+    assert_eq!(bench.decider.as_ref().and_then(Decider::deposed), None);
+    assert_eq!(starts(&bench.store(&effects)), 1);
+}
--- a/crates/cell/tests/order.rs
+++ b/crates/cell/tests/order.rs
@@ -33,13 +33,7 @@
         let after = if index == 0 { Vec::new() } else { vec![index - 1] };
         steps.push(Step { tasks: 1, estimate_ms: *estimate_ms, after, ..Step::default() });
     }
-    JobSpec {
-        id: "job".into(),
-        queue: "queue".into(),
-        account: None,
-        payload: "".into(),
-        steps,
-    }
+    JobSpec { id: "job".into(), queue: "queue".into(), account: None, payload: "".into(), steps }
 }
 
 /// Plays a load that is 2.3 times the capacity for four seconds and 0.75 times before and after.
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -19,10 +19,10 @@
 use crate::engine::Input;
 
 /// A connection without a message sends a sign of life so often.
-const ALIVE_EVERY: time::Duration = time::Duration::from_millis(250);
+const ALIVE_EVERY: time::Duration = time::Duration::from_millis(200);
 /// A connection that has been silent for so long is given up: connections may go silent without a
 /// reset.
-const SILENCE: time::Duration = time::Duration::from_millis(1_000);
+const SILENCE: time::Duration = time::Duration::from_millis(700);
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 const RECONNECT_PAUSE: time::Duration = time::Duration::from_millis(150);
 /// The most bytes of a frame. A submission is bounded by the callers' interface.
