Ask the adviser when a job is taken

Cause: a job was stored first and asked for afterwards, so its start took a second append.

Change: the question goes out with the submission; the tickets are usually there when the next append begins, and one append holds the job and its starts.

--- a/crates/cell/src/decider/intake.rs
+++ b/crates/cell/src/decider/intake.rs
@@ -56,6 +56,7 @@
         let job = LiveJob { accepted_wall_ms: context.wall_ms, spec, progress };
         context.ledger.live.insert(ids::JobId::clone(&id), job);
         self.accepted.insert(ids::JobId::clone(&id));
+        self.ask_early(context, &id);
         self.dirty.insert(id);
         self.replies.push((origin, Verdict::Stored));
     }
--- a/crates/cell/src/decider/schedule.rs
+++ b/crates/cell/src/decider/schedule.rs
@@ -98,46 +98,77 @@
     /// The steps that may start, in the order in which they are placed.
     fn candidates(&self, context: &Context<'_>) -> Vec<Candidate> {
         let mut candidates = Vec::new();
-        let zero = time::Duration::ZERO;
-        for (id, job) in &context.ledger.live {
-            if job.progress.verdict.is_some() {
+        for id in context.ledger.live.keys() {
+            self.push_candidates(context, id, &mut candidates);
+        }
+        candidates.sort_by(|a, b| (a.rank, &a.job, a.step).cmp(&(b.rank, &b.job, b.step)));
+        candidates
+    }
+
+    fn push_candidates(
+        &self,
+        context: &Context<'_>,
+        id: &ids::JobId,
+        candidates: &mut Vec<Candidate>,
+    ) {
+        let Some(job) = context.ledger.live.get(id) else {
+            return;
+        };
+        let Some(queue) = context.directory.queue(&job.spec.queue) else {
+            return;
+        };
+        if job.progress.verdict.is_some() {
+            return;
+        }
+        let mut chains = None;
+        for (step, tasks) in job.progress.steps.iter().enumerate() {
+            let mut waiting = Vec::new();
+            for (index, task) in tasks.iter().enumerate() {
+                let task_ref = TaskRef { job: ids::JobId::clone(id), step, index };
+                if task.phase == Phase::Waiting && !self.runs.contains_key(&task_ref) {
+                    waiting.push(index);
+                }
+            }
+            let is_whole = !job.spec.steps[step].gang || waiting.len() == tasks.len();
+            if waiting.is_empty() || !is_whole || !job.progress.is_ready(&job.spec, step) {
                 continue;
             }
-            let Some(queue) = context.directory.queue(&job.spec.queue) else {
+            let chains = chains.get_or_insert_with(|| job.spec.chains());
+            let rank = order::rank(
+                queue,
+                &job.spec,
+                job.accepted_wall_ms,
+                context.wall_ms,
+                chains[step],
+                self.beyond_share.contains(id),
+            );
+            candidates.push(Candidate {
+                rank,
+                job: ids::JobId::clone(id),
+                step,
+                spec: sync::Arc::clone(&job.spec),
+                waiting,
+            });
+        }
+    }
+
+    /// Asks the adviser about a job that was just taken, so that its tickets are there when the
+    /// next append begins.
+    pub(super) fn ask_early(&mut self, context: &mut Context<'_>, id: &ids::JobId) {
+        if !self.has_worker_list {
+            return;
+        }
+        let mut candidates = Vec::new();
+        self.push_candidates(context, id, &mut candidates);
+        for candidate in &candidates {
+            let queue = context.directory.queue(&candidate.spec.queue);
+            let Some((queue, terms)) = queue.and_then(|queue| Some((queue, queue.advice?))) else {
                 continue;
             };
-            let mut chains = None;
-            for (step, tasks) in job.progress.steps.iter().enumerate() {
-                let mut waiting = Vec::new();
-                for (index, task) in tasks.iter().enumerate() {
-                    let task_ref = TaskRef { job: ids::JobId::clone(id), step, index };
-                    if task.phase == Phase::Waiting && !self.runs.contains_key(&task_ref) {
-                        waiting.push(index);
-                    }
-                }
-                let is_whole = !job.spec.steps[step].gang || waiting.len() == tasks.len();
-                if waiting.is_empty() || !is_whole || !job.progress.is_ready(&job.spec, step) {
-                    continue;
-                }
-                let rank = order::rank(
-                    queue,
-                    &job.spec,
-                    job.accepted_wall_ms,
-                    context.wall_ms,
-                    *chains.get_or_insert_with(|| job.spec.chains()).get(step).unwrap_or(&zero),
-                    self.beyond_share.contains(id),
-                );
-                candidates.push(Candidate {
-                    rank,
-                    job: ids::JobId::clone(id),
-                    step,
-                    spec: sync::Arc::clone(&job.spec),
-                    waiting,
-                });
-            }
+            let limit = self.account_left(context, &candidate.spec);
+            let open = self.rooms(context, candidate, queue);
+            self.ask(context, candidate, terms, open, &limit, false);
         }
-        candidates.sort_by(|a, b| (a.rank, &a.job, a.step).cmp(&(b.rank, &b.job, b.step)));
-        candidates
     }
 
     fn account_left(&self, context: &Context<'_>, spec: &JobSpec) -> Resources {
--- a/crates/cell/tests/decider.rs
+++ b/crates/cell/tests/decider.rs
@@ -29,6 +29,8 @@
     end: u64,
     /// Starts that were sent after an append was stored.
     started: usize,
+    /// What the decider did at once on a submission.
+    early: Vec<Effect>,
 }
 
 impl Bench {
@@ -48,6 +50,7 @@
             decider: None,
             end: 100,
             started: 0,
+            early: Vec::new(),
         };
         let decider = {
             let mut effects = Vec::new();
@@ -80,7 +83,9 @@
 
     fn advance(&mut self, millis: u64) -> Vec<Effect> {
         self.now += time::Duration::from_millis(millis);
-        self.act(|decider, context| decider.advance(context))
+        let mut effects = std::mem::take(&mut self.early);
+        effects.extend(self.act(|decider, context| decider.advance(context)));
+        effects
     }
 
     /// Lists workers, which are looked at. Returns what the decider did after that.
@@ -123,7 +128,7 @@
             payload: "text".into(),
             steps,
         };
-        self.act(|decider, context| {
+        self.early = self.act(|decider, context| {
             decider.on_submit(context, Origin::Local(1), sync::Arc::new(spec));
         });
         TaskRef { job: "job".into(), step: 0, index: 0 }
