Tell the host of a submission of its end at once, and claim nothing where a claim was missed

Change: an append that has not failed has a second before the decider doubts the log; a missed claim is not repeated at the same end; final states go to the host that the job came from when they are stored, so followers read the log every 150 ms instead of 60.

--- a/crates/cell/src/decider/mod.rs
+++ b/crates/cell/src/decider/mod.rs
@@ -71,11 +71,15 @@
     jobs: BTreeSet<ids::JobId>,
     replies: Vec<(Origin, Verdict)>,
     orders: Vec<TaskRef>,
+    /// Final states that it makes known.
+    verdicts: Vec<(ids::JobId, JobState)>,
     ends: Vec<(ids::WorkerId, Life, u64)>,
     /// The decider's place is given up with it.
     releases: bool,
     /// An attempt was not answered, so that the records may already be there.
     is_unsure: bool,
+    /// An attempt was refused or not answered.
+    has_failed: bool,
     /// A read is under way that tells whether an earlier attempt was carried out.
     is_resolving: bool,
     /// When it was sent first.
@@ -118,6 +122,8 @@
     runs: BTreeMap<TaskRef, Run>,
     stopping: BTreeSet<TaskRef>,
     account_used: Map<AccountId, Resources>,
+    /// The hosts that the jobs came from, where it is not this one.
+    job_hosts: BTreeMap<ids::JobId, ids::HostId>,
     share_use: Map<AccountId, ShareUse>,
     beyond_share: BTreeSet<ids::JobId>,
     advice: BTreeMap<(ids::JobId, StepIndex), StepAdvice>,
@@ -217,7 +223,9 @@
         let Some(append) = &self.in_flight else {
             return;
         };
-        let is_lost = context.now >= append.sent_at.saturating_add(context.options.log_loss);
+        let patience =
+            if append.has_failed { context.options.log_loss } else { context.options.log_slowness };
+        let is_lost = context.now >= append.sent_at.saturating_add(patience);
         let is_told = context.now < self.log_lost_told_at.saturating_add(context.options.log_loss);
         if !is_lost || is_told {
             return;
@@ -234,7 +242,12 @@
         let mut records = vec![Record::batch(&Batch { incarnation: self.incarnation, sequence })];
         let jobs = std::mem::take(&mut self.dirty);
         let accepted = std::mem::take(&mut self.accepted);
+        let mut verdicts = Vec::new();
         for id in &jobs {
+            if let Some(verdict) = context.ledger.live.get(id).and_then(|job| job.progress.verdict)
+            {
+                verdicts.push((ids::JobId::clone(id), verdict));
+            }
             self.push_job_records(context, id, accepted.contains(id), &mut records);
         }
         self.push_forgotten(context, &mut records);
@@ -247,10 +260,12 @@
             jobs,
             replies: std::mem::take(&mut self.replies),
             orders: std::mem::take(&mut self.orders),
+            verdicts,
             ends: std::mem::take(&mut self.ends),
             releases: self.release.is_some(),
             is_unsure: false,
             is_resolving: false,
+            has_failed: false,
             sent_at: context.now,
             retry_at: None,
         };
@@ -326,11 +341,13 @@
         match answer {
             AppendAnswer::Stored { end } => self.on_stored(context, end),
             AppendAnswer::Refused => {
+                append.has_failed = true;
                 append.retry_at = Some(context.now.saturating_add(context.options.log_retry));
                 tracing::warn!(append = ticket, "append refused, to be repeated");
             }
             AppendAnswer::NoAnswer => {
                 append.is_unsure = true;
+                append.has_failed = true;
                 append.retry_at = Some(context.now.saturating_add(context.options.log_retry));
                 tracing::warn!(append = ticket, "append without an answer, to be repeated");
             }
@@ -387,6 +404,11 @@
         for (origin, verdict) in append.replies {
             self.reply(context, origin, verdict);
         }
+        for (job, state) in append.verdicts {
+            if let Some(to) = self.job_hosts.remove(&job) {
+                context.effects.push(Effect::Send { to, message: Message::Ended { job, state } });
+            }
+        }
         for (worker, life, up_to) in append.ends {
             let Some(worker) = self.workers.get_mut(&worker) else {
                 continue;
--- a/crates/cell/src/decider/takeover.rs
+++ b/crates/cell/src/decider/takeover.rs
@@ -52,6 +52,7 @@
             runs: BTreeMap::new(),
             stopping: BTreeSet::new(),
             account_used: Map::default(),
+            job_hosts: BTreeMap::new(),
             share_use: Map::default(),
             beyond_share: BTreeSet::new(),
             advice: BTreeMap::new(),
--- a/crates/cell/src/host/calls.rs
+++ b/crates/cell/src/host/calls.rs
@@ -138,6 +138,10 @@
 
     /// The job's state as far as it is stored.
     fn shown_state(&self, id: &str) -> Option<JobState> {
+        // The decider tells the host of a submission before the log does.
+        if let Some((state, _)) = self.told.get(id) {
+            return Some(*state);
+        }
         let state = self.ledger.state_of(id)?;
         match &self.role {
             Role::Deciding(decider) if state.is_final() && !decider.is_stored(id) => {
--- a/crates/cell/src/host/claim.rs
+++ b/crates/cell/src/host/claim.rs
@@ -78,6 +78,10 @@
         let (Some(at), Some(as_of)) = (self.cell.next_offset(), self.cell.as_of()) else {
             return;
         };
+        // The log has gone on there; a read will tell how.
+        if self.missed_at == Some(at) {
+            return;
+        }
         let silence = self.silence_before_claim(now);
         let is_silent = now >= self.heard_at.saturating_add(silence);
         if !is_silent || now > as_of.saturating_add(CLAIM_FRESHNESS.max(self.options.read_wait * 2))
@@ -128,7 +132,10 @@
                 }
                 self.begin(now, wall_ms, end, out);
             }
-            AppendAnswer::Moved => tracing::info!("another host was first to claim"),
+            AppendAnswer::Moved => {
+                tracing::info!(at, "another host was first to claim");
+                self.missed_at = Some(at);
+            }
             AppendAnswer::Refused | AppendAnswer::NoAnswer => {
                 // A claim that lands later is seen in the log.
                 tracing::warn!(?answer, "the claim was not stored");
--- a/crates/cell/src/host/mod.rs
+++ b/crates/cell/src/host/mod.rs
@@ -1,6 +1,6 @@
 //! A host: it serves callers, follows the cell's log and decides when its claim stands.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync;
 use std::time;
 
@@ -12,6 +12,7 @@
 use crate::effect::Effect;
 use crate::event::{Event, OperatorRecord, ReadAnswer, WorkerRecord};
 use crate::follow::{Follower, Learned, ReadError, Topic};
+use crate::job::JobState;
 use crate::ledger::Ledger;
 use crate::options::Options;
 use crate::peer::Message;
@@ -25,6 +26,8 @@
 const DISCONNECTED_READY: time::Duration = time::Duration::from_millis(1_800);
 /// How old the view of the jobs may be for the host to tell that a job does not exist.
 const VIEW_FRESHNESS: time::Duration = time::Duration::from_millis(2_500);
+/// How long a final state that the decider has told of stands in for the log.
+const TOLD_VALIDITY: time::Duration = time::Duration::from_secs(10);
 /// The longest time between two looks at the clock.
 const LONGEST_SLEEP: time::Duration = time::Duration::from_millis(200);
 
@@ -84,8 +87,12 @@
     connected_to: Option<ids::HostId>,
     wanted_connection: Option<(ids::HostId, sync::Arc<str>)>,
     disconnected_at: time::Duration,
+    /// Final states that the decider has told of ahead of the log, and when.
+    told: BTreeMap<ids::JobId, (JobState, time::Duration)>,
     /// When the decider last said that it does not reach the log.
     log_lost_at: Option<time::Duration>,
+    /// Where a claim of this host did not land. The log goes on behind it.
+    missed_at: Option<ids::Offset>,
     /// The fencing token of this host's last time as decider.
     last_token: u64,
     is_ready: bool,
@@ -113,6 +120,8 @@
             wanted_connection: None,
             disconnected_at: time::Duration::ZERO,
             log_lost_at: None,
+            missed_at: None,
+            told: BTreeMap::new(),
             last_token: 0,
             is_ready: false,
             is_stopping: false,
@@ -294,6 +303,10 @@
         for (offset, record) in &learned.records {
             self.ledger.fold(*offset, record);
         }
+        let ledger = &self.ledger;
+        self.told.retain(|id, (_, told_at)| {
+            now < told_at.saturating_add(TOLD_VALIDITY) && !ledger.ended.contains_key(id)
+        });
         if learned.is_at_tail {
             self.begin_if_claimed(now, wall_ms, out);
         }
@@ -372,6 +385,9 @@
                     out.push(Effect::Answer { ticket, answer });
                 }
             }
+            Message::Ended { job, state } => {
+                self.told.insert(job, (state, now));
+            }
             Message::AskAdviser { question } => out.push(Effect::Advise(question)),
             Message::Submit { ticket, spec } => {
                 self.with_decider(now, wall_ms, out, |decider, context| {
--- a/crates/cell/src/options.rs
+++ b/crates/cell/src/options.rs
@@ -37,8 +37,10 @@
     pub silence: time::Duration,
     /// The same when the decider's connection has broken too.
     pub silence_disconnected: time::Duration,
-    /// How long an append is without success before the decider says that it does not reach the log.
+    /// How long an append fails before the decider says that it does not reach the log.
     pub log_loss: time::Duration,
+    /// The same for an append that has not failed: a slow log takes half a second.
+    pub log_slowness: time::Duration,
     /// How much later each further host claims, so that they seldom race.
     pub claim_stagger: time::Duration,
     /// How long leases are extended after the last append, so that an outage of the log ends no
@@ -71,7 +73,7 @@
             stop_grace: millis(400),
             revocation_bound: millis(5_000),
             remember_ended: millis(120_000),
-            follow_gap: millis(60),
+            follow_gap: millis(150),
             list_gap: millis(200),
             read_wait: millis(1_000),
             log_timeout: millis(1_500),
@@ -81,6 +83,7 @@
             silence: millis(2_000),
             silence_disconnected: millis(500),
             log_loss: millis(400),
+            log_slowness: millis(1_000),
             claim_stagger: millis(40),
             extend_without_log: millis(6_000),
             order_timeout: millis(700),
--- a/crates/cell/src/peer.rs
+++ b/crates/cell/src/peer.rs
@@ -5,7 +5,7 @@
 use pier_core::ids;
 use serde::{Deserialize, Serialize};
 
-use crate::job::{JobSpec, StepIndex};
+use crate::job::{JobSpec, JobState, StepIndex};
 
 /// A message between two hosts. Each may be lost with its connection.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -45,6 +45,13 @@
         /// What became of it.
         verdict: Verdict,
     },
+    /// A job that the host has passed on has a final state, which is stored.
+    Ended {
+        /// The job.
+        job: ids::JobId,
+        /// Its state.
+        state: JobState,
+    },
     /// The host is to ask the adviser.
     AskAdviser {
         /// The question.
--- a/crates/cell/tests/cell_faults.rs
+++ b/crates/cell/tests/cell_faults.rs
@@ -137,6 +137,45 @@
     }
 }
 
+/// Guards against hosts that take a slow store for a dead decider and claim its place again and
+/// again (the incident at Kuiseb: up to 150 claims a second).
+#[test]
+fn a_slow_store_changes_no_decider() {
+    let mut sim = Sim::new(5, 5, 8);
+    sim.run_for(2_000);
+    let mut count = 0;
+    load(&mut sim, 2, &mut count);
+    let decider = sim.decider();
+    sim.seen.claims = 0;
+    sim.store_ms = 180..260;
+    load(&mut sim, 5, &mut count);
+    assert_eq!(sim.decider(), decider);
+    assert!(sim.seen.claims <= 2, "{} claims", sim.seen.claims);
+    sim.store_ms = 2..8;
+    sim.run_for(8_000);
+    check(&sim);
+}
+
+/// Guards against an answer that is ready and not delivered: the host that a job came from tells of
+/// its end as soon as it is stored, without waiting for its next read of the log.
+#[test]
+fn the_host_of_a_job_tells_of_its_end_at_once() {
+    let mut sim = Sim::new(6, 3, 8);
+    sim.run_for(2_000);
+    let host = (sim.decider().expect("a decider") + 1) % 3;
+    sim.submit(host, "00000000000000aa", "urgent", vec![step(1, 1)]);
+    while sim.stored_state("00000000000000aa") != Some(JobState::Completed) {
+        sim.run_for(1);
+        // From now on a read of the log takes longer than the message.
+        if sim.stored_state("00000000000000aa").is_some() {
+            sim.hosts[host].is_cut_from_store = true;
+        }
+    }
+    sim.run_for(15);
+    let shown = sim.show(host, "00000000000000aa", "urgent");
+    assert_eq!(shown, Some(pier_cell::effect::Answer::State(JobState::Completed)));
+}
+
 /// Guards against a new decider that asks the adviser alone: hosts that restart together connect
 /// to the decider's address before its new process has claimed the place.
 #[test]
--- a/crates/cell/tests/sim/mod.rs
+++ b/crates/cell/tests/sim/mod.rs
@@ -32,7 +32,6 @@
 /// The wall clock at the start of a simulation.
 const EPOCH_MS: u64 = 1_700_000_000_000;
 /// Times of one way, in milliseconds.
-const STORE_MS: std::ops::Range<u64> = 2..8;
 const NEAR_MS: std::ops::Range<u64> = 1..3;
 
 /// A host's process and what is done to it.
@@ -74,6 +73,7 @@
     pub unsure: BTreeSet<String>,
     pub starts: u64,
     pub start_times_ms: Vec<u64>,
+    pub claims: u64,
     pub questions_by_host: BTreeMap<usize, u64>,
     last_start_ms: BTreeMap<TaskRef, u64>,
     done: BTreeSet<TaskRef>,
@@ -91,6 +91,8 @@
     pub operators: store::Topic<OperatorRecord>,
     pub listed: store::Topic<Entry>,
     pub is_store_down: bool,
+    /// The time of one way to the store.
+    pub store_ms: std::ops::Range<u64>,
     /// The part of appends whose answer is lost, in percent.
     pub lost_appends_percent: u32,
     /// The part of orders that get no answer and are carried out seconds later, in percent.
@@ -105,6 +107,7 @@
     next_process: u64,
     next_ticket: u64,
     open_calls: BTreeMap<u64, String>,
+    shown: BTreeMap<u64, Answer>,
     waiting_reads: Vec<WaitingRead>,
 }
 
@@ -146,6 +149,7 @@
             operators: store::Topic::new(),
             listed: store::Topic::new(),
             is_store_down: false,
+            store_ms: 2..8,
             lost_appends_percent: 0,
             late_orders_percent: 0,
             run_ms: 800,
@@ -158,6 +162,7 @@
             next_process: 0,
             next_ticket: 0,
             open_calls: BTreeMap::new(),
+            shown: BTreeMap::new(),
             waiting_reads: Vec::new(),
         };
         sim.declare(directory);
@@ -299,6 +304,22 @@
         self.send_event(host, 1, Event::Called { ticket, call: Box::new(call) });
     }
 
+    /// What a host tells of a job.
+    pub fn show(&mut self, host: usize, id: &str, queue: &str) -> Option<Answer> {
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        let call = Call {
+            host: "cell.example".to_owned(),
+            path: format!("/{queue}/{id}"),
+            key: Some("key".to_owned()),
+            patience: None,
+            ask: Ask::Show,
+        };
+        self.send_event(host, 1, Event::Called { ticket, call: Box::new(call) });
+        self.run_for(10);
+        self.shown.remove(&ticket)
+    }
+
     pub fn cancel(&mut self, host: usize, id: &str, queue: &str) {
         self.next_ticket += 1;
         let ticket = self.next_ticket;
@@ -391,7 +412,7 @@
         let number = host.number;
         for effect in effects {
             let range = match &effect {
-                Effect::Read { .. } | Effect::Append { .. } => STORE_MS,
+                Effect::Read { .. } | Effect::Append { .. } => self.store_ms.clone(),
                 _ => NEAR_MS,
             };
             let after = self.delay(range);
@@ -412,13 +433,16 @@
                     self.send_event(host, after, Event::Appended { ticket, answer });
                     return;
                 }
+                if records.iter().any(|record| record.key == "decider") {
+                    self.seen.claims += 1;
+                }
                 let answer = self.cell.append(at, &records);
                 let is_lost = self.rng.random_range(0..100) < self.lost_appends_percent;
                 if is_lost {
                     let answer = AppendAnswer::NoAnswer;
                     self.send_event(host, 1_000, Event::Appended { ticket, answer });
                 } else {
-                    let after = self.delay(STORE_MS);
+                    let after = self.delay(self.store_ms.clone());
                     self.send_event(host, after, Event::Appended { ticket, answer });
                 }
             }
@@ -602,6 +626,7 @@
 
     fn note_answer(&mut self, ticket: u64, answer: &Answer) {
         let Some(id) = self.open_calls.remove(&ticket) else {
+            self.shown.insert(ticket, answer.clone());
             return;
         };
         let told = match answer {
@@ -637,7 +662,7 @@
                         Event::Workers(ReadAnswer::Page(self.listed.page(after, worker_record)))
                     }
                 };
-                let delay = self.delay(STORE_MS);
+                let delay = self.delay(self.store_ms.clone());
                 self.send_event(host, delay, event);
             }
             Read::From { offset, wait } => {
@@ -678,7 +703,7 @@
                     Event::Workers(answer(is_lost, self.listed.stretch(from, worker_record)))
                 }
             };
-            let delay = if is_lost { 300 } else { self.delay(STORE_MS) };
+            let delay = if is_lost { 300 } else { self.delay(self.store_ms.clone()) };
             self.send_event(waiting.host, delay, event);
         }
     }
