Send callers of a cut-off host on at once, and let small hosts claim later

Steps that can neither be placed nor asked for cost no placement. Hosts with a small part of a processor claim later.

--- a/crates/cell/src/advice.rs
+++ b/crates/cell/src/advice.rs
@@ -67,6 +67,12 @@
         (ticket.valid_until > now.saturating_add(TICKET_MARGIN)).then_some(ticket)
     }
 
+    /// Whether any ticket is valid long enough to be used.
+    pub fn has_ticket(&self, now: time::Duration) -> bool {
+        let usable_from = now.saturating_add(TICKET_MARGIN);
+        self.eligible.values().any(|ticket| ticket.valid_until > usable_from)
+    }
+
     /// The workers to ask about, in the order of `candidates`: first those whose tickets are to be
     /// renewed, then those that nothing is known of.
     pub fn next_question(
--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -130,18 +130,20 @@
     }
 
     /// The calls that are answered without a verdict: those that can wait no longer and, while no
-    /// decider is at hand, those that no decider has got.
+    /// decider is at hand, those that no decider has got. A host that is cut off waits for no
+    /// decider: the caller is better off at another host.
     pub fn give_up(
         &mut self,
         now: time::Duration,
         has_decider: bool,
+        is_cut_off: bool,
         options: &Options,
     ) -> Vec<(ids::Ticket, Answer)> {
         let mut answered = Vec::new();
         for (ticket, call) in &self.waiting {
             let was_passed = call.passed_to.is_some();
             let is_out_of_patience = !has_decider
-                && !was_passed
+                && (!was_passed || is_cut_off)
                 && now >= call.arrived_at.saturating_add(DECIDER_PATIENCE);
             if now < call.answer_by && !is_out_of_patience {
                 continue;
@@ -152,7 +154,11 @@
             } else {
                 Answer::Rejected {
                     reason: "no decider is known".to_owned(),
-                    retry_after: options.retry_after,
+                    retry_after: if is_cut_off {
+                        time::Duration::ZERO
+                    } else {
+                        options.retry_after
+                    },
                 }
             };
             let waited_ms = pier_core::clock::millis(now.saturating_sub(call.arrived_at));
@@ -170,7 +176,7 @@
         let mut due_at = time::Duration::MAX;
         for call in self.waiting.values() {
             due_at = due_at.min(call.answer_by);
-            if !has_decider && call.passed_to.is_none() {
+            if !has_decider {
                 due_at = due_at.min(call.arrived_at.saturating_add(DECIDER_PATIENCE));
             }
         }
--- a/crates/cell/src/decider/schedule.rs
+++ b/crates/cell/src/decider/schedule.rs
@@ -60,6 +60,15 @@
             if !candidate.step().need.fits_in(&limit) {
                 continue;
             }
+            // Without a ticket and a host to ask, nothing can be done for the step now.
+            let has_ticket = queue.advice.is_none()
+                || self
+                    .advice
+                    .get(&candidate.key())
+                    .is_some_and(|advice| advice.has_ticket(context.now));
+            if !has_ticket && self.idle_adviser_host().is_none() {
+                continue;
+            }
             let open = self.rooms(context, candidate, queue);
             let mut rooms = open.clone();
             if queue.advice.is_some() {
--- a/crates/cell/src/host/calls.rs
+++ b/crates/cell/src/host/calls.rs
@@ -10,7 +10,7 @@
 use crate::directory::Queue;
 use crate::effect::{Answer, Effect};
 use crate::event::{Ask, Call};
-use crate::host::{DISCONNECTED_READY, Host, Role, VIEW_FRESHNESS};
+use crate::host::{CUT_OFF_AFTER, DISCONNECTED_READY, Host, Role, VIEW_FRESHNESS};
 use crate::job::{AccountId, JobState};
 
 impl Host {
@@ -91,8 +91,15 @@
         Ok(Some(AccountId::clone(&account.name)))
     }
 
+    /// Rejects a call for a reason that other hosts do not share, so the caller may try one at once.
     fn reject(&self, reason: &str) -> Answer {
-        Answer::Rejected { reason: reason.to_owned(), retry_after: self.options.retry_after }
+        Answer::Rejected { reason: reason.to_owned(), retry_after: time::Duration::ZERO }
+    }
+
+    /// Whether this host reaches neither the log nor a decider.
+    pub(super) fn is_cut_off(&self, now: time::Duration) -> bool {
+        !self.has_decider()
+            && (self.cell.is_failing() || !self.is_fresh(now, self.cell.as_of(), CUT_OFF_AFTER))
     }
 
     /// Answers a call from what the host knows, or keeps it for the decider.
--- a/crates/cell/src/host/claim.rs
+++ b/crates/cell/src/host/claim.rs
@@ -63,7 +63,8 @@
     /// The host's place in the order of claims, which differs from claim to claim.
     fn claim_delay(&self, token: u64) -> time::Duration {
         let rank = rendezvous::weight(&token.to_string(), &self.me.host) % CLAIM_RANKS;
-        self.options.claim_stagger * u32::try_from(rank).unwrap_or_default()
+        let stagger = self.options.claim_stagger * u32::try_from(rank).unwrap_or_default();
+        stagger.saturating_add(self.options.claim_handicap)
     }
 
     /// Claims the decider's place when the log has been silent for long enough.
--- a/crates/cell/src/host/mod.rs
+++ b/crates/cell/src/host/mod.rs
@@ -24,6 +24,8 @@
 /// How long the decider's connection may be away before the host takes no new callers. A change of
 /// the decider is over by then.
 const DISCONNECTED_READY: time::Duration = time::Duration::from_millis(1_800);
+/// A host whose view of the log is older than that, and which has no decider, counts as cut off.
+const CUT_OFF_AFTER: time::Duration = time::Duration::from_millis(2_000);
 /// How old the view of the jobs may be for the host to tell that a job does not exist.
 const VIEW_FRESHNESS: time::Duration = time::Duration::from_millis(2_500);
 /// How long a final state that the decider has told of stands in for the log.
@@ -262,7 +264,9 @@
         }
         self.connect(now, out);
         self.pass_calls(now, wall_ms, out);
-        for (ticket, answer) in self.calls.give_up(now, self.has_decider(), &self.options) {
+        let has_decider = self.has_decider();
+        let is_cut_off = self.is_cut_off(now);
+        for (ticket, answer) in self.calls.give_up(now, has_decider, is_cut_off, &self.options) {
             out.push(Effect::Answer { ticket, answer });
         }
         let is_ready = self.may_take_callers(now);
--- a/crates/cell/src/options.rs
+++ b/crates/cell/src/options.rs
@@ -43,6 +43,9 @@
     pub log_slowness: time::Duration,
     /// How much later each further host claims, so that they seldom race.
     pub claim_stagger: time::Duration,
+    /// How much later this host claims than a host of the usual size: deciding takes processor time
+    /// in proportion to the cell's starts.
+    pub claim_handicap: time::Duration,
     /// How long leases are extended after the last append, so that an outage of the log ends no
     /// work. A new decider counts on it for workers that it cannot reach.
     pub extend_without_log: time::Duration,
@@ -85,6 +88,7 @@
             log_loss: millis(400),
             log_slowness: millis(1_000),
             claim_stagger: millis(40),
+            claim_handicap: time::Duration::ZERO,
             extend_without_log: millis(6_000),
             order_timeout: millis(700),
             order_age: millis(1_000),
