--- a/crates/cell/src/host/calls.rs
+++ b/crates/cell/src/host/calls.rs
@@ -70,11 +70,11 @@
         call: &Call,
     ) -> Result<(ids::QueueId, Option<AccountId>, String), Answer> {
         if self.directory.version == 0 {
-            return Err(self.reject("no declaration is known"));
+            return Err(self.reject(now, "no declaration is known"));
         }
         // Without a recent view of the declaration a revoked key could still be taken.
         if !self.is_fresh(now, self.operators.as_of(), self.options.key_freshness()) {
-            return Err(self.reject("the declaration is too old"));
+            return Err(self.reject(now, "the declaration is too old"));
         }
         let queue = self.directory.route(&call.host, &call.path).ok_or(Answer::NoQueue)?;
         let account = self.account(queue, call)?;
@@ -91,9 +91,12 @@
         Ok(Some(AccountId::clone(&account.name)))
     }
 
-    /// Rejects a call for a reason that other hosts do not share, so the caller may try one at once.
-    fn reject(&self, reason: &str) -> Answer {
-        Answer::Rejected { reason: reason.to_owned(), retry_after: time::Duration::ZERO }
+    /// Rejects a call for a reason that other hosts do not share, unless the decider does not reach
+    /// the log either. The caller may try another host at once.
+    fn reject(&self, now: time::Duration, reason: &str) -> Answer {
+        let is_outage = self.is_decider() || self.has_decider_lost_log(now);
+        let retry_after = if is_outage { self.options.retry_after } else { time::Duration::ZERO };
+        Answer::Rejected { reason: reason.to_owned(), retry_after }
     }
 
     /// Whether this host reaches neither the log nor a decider.
@@ -118,13 +121,13 @@
             Ask::Show if id.is_empty() => Some(if is_view_fresh {
                 Answer::Pending(self.ledger.pending(&queue))
             } else {
-                self.reject("the view of the jobs is too old")
+                self.reject(now, "the view of the jobs is too old")
             }),
             _ if id.is_empty() => Some(Answer::Invalid("the path names no job".to_owned())),
             Ask::Show => Some(match self.shown_state(id) {
                 Some(state) => Answer::State(state),
                 None if is_view_fresh => Answer::NoJob,
-                None => self.reject("the view of the jobs is too old"),
+                None => self.reject(now, "the view of the jobs is too old"),
             }),
             Ask::Cancel => {
                 let wanted = Wanted::Cancel(ids::JobId::from(id));
--- a/crates/cell/src/host/claim.rs
+++ b/crates/cell/src/host/claim.rs
@@ -51,8 +51,7 @@
             return time::Duration::ZERO;
         }
         // The decider's own word counts only for a host that does reach the log.
-        let has_lost_log = !self.cell.is_failing()
-            && self.log_lost_at.is_some_and(|at| now < at.saturating_add(LOG_LOST_VALIDITY));
+        let has_lost_log = !self.cell.is_failing() && self.has_decider_lost_log(now);
         if self.connected_to.as_ref() == Some(&placed.claim.host) && !has_lost_log {
             self.options.silence.saturating_add(delay)
         } else {
@@ -60,6 +59,11 @@
         }
     }
 
+    /// Whether the decider has lately said that it does not reach the log.
+    pub(super) fn has_decider_lost_log(&self, now: time::Duration) -> bool {
+        self.log_lost_at.is_some_and(|at| now < at.saturating_add(LOG_LOST_VALIDITY))
+    }
+
     /// The host's place in the order of claims, which differs from claim to claim.
     fn claim_delay(&self, token: u64) -> time::Duration {
         let rank = rendezvous::weight(&token.to_string(), &self.me.host) % CLAIM_RANKS;
--- a/crates/cell/tests/cell_faults.rs
+++ b/crates/cell/tests/cell_faults.rs
@@ -176,6 +176,36 @@
     assert_eq!(shown, Some(pier_cell::effect::Answer::State(JobState::Completed)));
 }
 
+fn retry_after_ms(sim: &Sim, id: &str) -> Option<u128> {
+    match sim.seen.answers.get(id) {
+        Some(pier_cell::effect::Answer::Rejected { retry_after, .. }) => {
+            Some(retry_after.as_millis())
+        }
+        _ => None,
+    }
+}
+
+/// Guards against callers that come back to a host that is cut off, or that use up their attempts
+/// in an outage that all hosts share.
+#[test]
+fn a_rejection_says_when_another_attempt_can_succeed() {
+    let mut sim = Sim::new(7, 4, 8);
+    sim.run_for(2_000);
+    let host = (sim.decider().expect("a decider") + 1) % 4;
+    sim.hosts[host].is_cut_from_store = true;
+    sim.run_for(6_000);
+    sim.submit(host, "00000000000000c1", "urgent", vec![step(1, 1)]);
+    sim.run_for(100);
+    assert_eq!(retry_after_ms(&sim, "00000000000000c1"), Some(0), "others serve");
+    sim.hosts[host].is_cut_from_store = false;
+    sim.run_for(3_000);
+    sim.is_store_down = true;
+    sim.run_for(6_000);
+    sim.submit(host, "00000000000000c2", "urgent", vec![step(1, 1)]);
+    sim.run_for(100);
+    assert_eq!(retry_after_ms(&sim, "00000000000000c2"), Some(1_000), "no host serves");
+}
+
 /// Guards against a new decider that asks the adviser alone: hosts that restart together connect
 /// to the decider's address before its new process has claimed the place.
 #[test]
--- a/crates/cell/tests/sim/mod.rs
+++ b/crates/cell/tests/sim/mod.rs
@@ -71,6 +71,7 @@
     pub accepted: BTreeSet<String>,
     pub rejected: BTreeSet<String>,
     pub unsure: BTreeSet<String>,
+    pub answers: BTreeMap<String, Answer>,
     pub starts: u64,
     pub start_times_ms: Vec<u64>,
     pub claims: u64,
@@ -629,6 +630,7 @@
             self.shown.insert(ticket, answer.clone());
             return;
         };
+        self.seen.answers.insert(id.clone(), answer.clone());
         let told = match answer {
             Answer::Accepted => &mut self.seen.accepted,
             Answer::Unsure => &mut self.seen.unsure,
