Split the appends from the decider, and list the proofs of the cell

Change: no behaviour; a module for the appends, comments on the decider's fields, settings without use removed, tests for the account's limit and for zones out of service.

--- a/crates/cell/src/decider/looks.rs
+++ b/crates/cell/src/decider/looks.rs
@@ -1,16 +1,17 @@
 //! Looks at workers: they extend the leases and tell what runs and what has ended.
 
+use std::sync;
 use std::time;
 
 use pier_core::ids;
 use pier_core::map::Set;
 
 use crate::decider::{Context, Decider};
-use crate::effect::Effect;
+use crate::effect::{Effect, Target};
 use crate::event::{ListedEnd, ListedRun, LookAnswer};
 use crate::job::TaskRef;
-use crate::run::RunPhase;
-use crate::worker::{Life, Worker};
+use crate::run::{Run, RunPhase};
+use crate::worker::{Entry, Life, Worker};
 
 /// The pause between looks while a run's fate is open.
 const OPEN_RUN_PAUSE: time::Duration = time::Duration::from_millis(100);
@@ -54,9 +55,9 @@
             worker.look_sent_at = Some(context.now);
             worker.looked_at = context.now;
             context.effects.push(Effect::Look {
-                target: crate::effect::Target {
+                target: Target {
                     worker: ids::WorkerId::clone(&worker.entry.id),
-                    address: std::sync::Arc::clone(&worker.entry.address),
+                    address: sync::Arc::clone(&worker.entry.address),
                     token: self.token,
                 },
                 sent_at: context.now,
@@ -121,7 +122,7 @@
             let life = life.unwrap_or_default();
             self.end_life(context, id, life);
             if let Some(worker) = self.workers.get_mut(id) {
-                let entry = crate::worker::Entry { life, ..worker.entry.clone() };
+                let entry = Entry { life, ..worker.entry.clone() };
                 worker.begin_life(entry);
             }
         }
@@ -267,6 +268,6 @@
 }
 
 /// Whether only the next look tells if the run is alive.
-fn is_fate_open(run: Option<&crate::run::Run>) -> bool {
+fn is_fate_open(run: Option<&Run>) -> bool {
     run.is_some_and(|run| matches!(run.phase, RunPhase::Unknown { .. } | RunPhase::Stopped { .. }))
 }
--- a/crates/cell/src/decider/mod.rs
+++ b/crates/cell/src/decider/mod.rs
@@ -13,29 +13,26 @@
 use pier_core::resources::Resources;
 
 use crate::advice::StepAdvice;
+use crate::decider::append::{InFlight, append_effect};
 use crate::directory::Directory;
 use crate::effect::{Effect, Target};
-use crate::event::AppendAnswer;
-use crate::follow::{Read, Topic};
 use crate::job::{AccountId, JobState, RunNumber, StepIndex, TaskRef};
-use crate::ledger::{EndedJob, Ledger};
+use crate::ledger::Ledger;
 use crate::options::Options;
 use crate::order::ShareUse;
 use crate::peer::{Message, Verdict};
 use crate::progress::Phase;
-use crate::record::{Batch, Change, Claim, JobRecord, Record};
+use crate::record::Claim;
 use crate::run::Run;
 use crate::worker::{Life, Worker};
 
+mod append;
 mod intake;
 mod looks;
 mod orders;
 mod schedule;
 mod takeover;
 
-/// The most ended jobs that one append forgets, so that appends stay small.
-const MOST_FORGOTTEN: usize = 200;
-
 /// What the decider works with besides its own state.
 pub struct Context<'a> {
     /// The time since the process started.
@@ -63,31 +60,6 @@
     Remote(ids::HostId, ids::Ticket),
 }
 
-/// An append that has not been answered for good.
-#[derive(Debug)]
-struct InFlight {
-    ticket: ids::Ticket,
-    records: sync::Arc<Vec<Record>>,
-    jobs: BTreeSet<ids::JobId>,
-    replies: Vec<(Origin, Verdict)>,
-    orders: Vec<TaskRef>,
-    /// Final states that it makes known.
-    verdicts: Vec<(ids::JobId, JobState)>,
-    ends: Vec<(ids::WorkerId, Life, u64)>,
-    /// The decider's place is given up with it.
-    releases: bool,
-    /// An attempt was not answered, so that the records may already be there.
-    is_unsure: bool,
-    /// An attempt was refused or not answered.
-    has_failed: bool,
-    /// A read is under way that tells whether an earlier attempt was carried out.
-    is_resolving: bool,
-    /// When it was sent first.
-    sent_at: time::Duration,
-    /// When it is to be sent again; none while a call is under way.
-    retry_at: Option<time::Duration>,
-}
-
 /// A question that a host is asking the adviser.
 #[derive(Debug)]
 struct Asked {
@@ -101,6 +73,7 @@
 #[derive(Debug)]
 pub struct Decider {
     token: u64,
+    /// Where the log ends, as far as this decider has written it.
     end: ids::Offset,
     incarnation: ids::Incarnation,
     next_ticket: ids::Ticket,
@@ -111,24 +84,32 @@
     log_lost_told_at: time::Duration,
     /// Something has happened since the last look at what may start.
     has_news: bool,
+    /// Jobs whose newest state is not in an append yet.
     dirty: BTreeSet<ids::JobId>,
+    /// Those of them that were just taken.
     accepted: BTreeSet<ids::JobId>,
+    /// Ended jobs in the order of their ends, to be forgotten in time.
     ended_order: VecDeque<(u64, ids::JobId)>,
+    /// What is told, ordered and acknowledged when the next append is stored.
     replies: Vec<(Origin, Verdict)>,
     orders: Vec<TaskRef>,
     ends: Vec<(ids::WorkerId, Life, u64)>,
     workers: BTreeMap<ids::WorkerId, Worker>,
     has_worker_list: bool,
     runs: BTreeMap<TaskRef, Run>,
+    /// Runs whose stop is not acknowledged.
     stopping: BTreeSet<TaskRef>,
     account_used: Map<AccountId, Resources>,
     /// The hosts that the jobs came from, where it is not this one.
     job_hosts: BTreeMap<ids::JobId, ids::HostId>,
     share_use: Map<AccountId, ShareUse>,
+    /// Jobs that their accounts submitted beyond their shares.
     beyond_share: BTreeSet<ids::JobId>,
     advice: BTreeMap<(ids::JobId, StepIndex), StepAdvice>,
     asked: BTreeMap<ids::Ticket, Asked>,
+    /// The connected hosts, which can ask the adviser.
     peers: BTreeSet<ids::HostId>,
+    /// Workers that are kept for a gang, with the priority of its queue.
     kept: Map<ids::WorkerId, (ids::JobId, StepIndex, u32)>,
     local_verdicts: Vec<(ids::Ticket, Verdict)>,
     /// The claim that gives up the decider's place, once the host is to end.
@@ -218,212 +199,6 @@
         }
     }
 
-    /// Tells the other hosts that this one does not reach the log, so that one that does can claim.
-    fn tell_log_lost(&mut self, context: &mut Context<'_>) {
-        let Some(append) = &self.in_flight else {
-            return;
-        };
-        let patience =
-            if append.has_failed { context.options.log_loss } else { context.options.log_slowness };
-        let is_lost = context.now >= append.sent_at.saturating_add(patience);
-        let is_told = context.now < self.log_lost_told_at.saturating_add(context.options.log_loss);
-        if !is_lost || is_told {
-            return;
-        }
-        self.log_lost_told_at = context.now;
-        for host in &self.peers {
-            let message = Message::LogLost { token: self.token };
-            context.effects.push(Effect::Send { to: ids::HostId::clone(host), message });
-        }
-    }
-
-    fn append(&mut self, context: &mut Context<'_>) {
-        let sequence = self.ticket();
-        let mut records = vec![Record::batch(&Batch { incarnation: self.incarnation, sequence })];
-        let jobs = std::mem::take(&mut self.dirty);
-        let accepted = std::mem::take(&mut self.accepted);
-        let mut verdicts = Vec::new();
-        for id in &jobs {
-            if let Some(verdict) = context.ledger.live.get(id).and_then(|job| job.progress.verdict)
-            {
-                verdicts.push((ids::JobId::clone(id), verdict));
-            }
-            self.push_job_records(context, id, accepted.contains(id), &mut records);
-        }
-        self.push_forgotten(context, &mut records);
-        if let Some(claim) = &self.release {
-            records.push(Record::claim(claim));
-        }
-        let append = InFlight {
-            ticket: sequence,
-            records: sync::Arc::new(records),
-            jobs,
-            replies: std::mem::take(&mut self.replies),
-            orders: std::mem::take(&mut self.orders),
-            verdicts,
-            ends: std::mem::take(&mut self.ends),
-            releases: self.release.is_some(),
-            is_unsure: false,
-            is_resolving: false,
-            has_failed: false,
-            sent_at: context.now,
-            retry_at: None,
-        };
-        self.last_append_at = context.now;
-        context.effects.push(append_effect(&append, self.end, context.options));
-        self.in_flight = Some(append);
-    }
-
-    fn push_job_records(
-        &mut self,
-        context: &mut Context<'_>,
-        id: &ids::JobId,
-        is_new: bool,
-        records: &mut Vec<Record>,
-    ) {
-        let Some(job) = context.ledger.live.get(id) else {
-            return;
-        };
-        if is_new {
-            let record = JobRecord::Accepted {
-                accepted_wall_ms: job.accepted_wall_ms,
-                spec: sync::Arc::clone(&job.spec),
-            };
-            records.push(Record::job(id, Some(&record)));
-        }
-        let Some(state) = job.progress.verdict.filter(|_| !self.has_runs(id)) else {
-            records.push(Record::progress(id, Some(&job.progress)));
-            return;
-        };
-        let queue = ids::QueueId::clone(&job.spec.queue);
-        context.ledger.live.remove(id);
-        self.beyond_share.remove(id);
-        let ended =
-            EndedJob { queue: ids::QueueId::clone(&queue), state, ended_wall_ms: context.wall_ms };
-        context.ledger.ended.insert(ids::JobId::clone(id), ended);
-        self.ended_order.push_back((context.wall_ms, ids::JobId::clone(id)));
-        let record = JobRecord::Ended { queue, state, ended_wall_ms: context.wall_ms };
-        records.push(Record::job(id, Some(&record)));
-        records.push(Record::progress(id, None));
-        while let Some((key, _)) =
-            self.advice.range((ids::JobId::clone(id), 0)..).next().filter(|(key, _)| key.0 == *id)
-        {
-            let key = key.clone();
-            self.advice.remove(&key);
-        }
-    }
-
-    fn push_forgotten(&mut self, context: &mut Context<'_>, records: &mut Vec<Record>) {
-        let remember_ms = pier_core::clock::millis(context.options.remember_ended);
-        for _ in 0..MOST_FORGOTTEN {
-            let Some((ended_wall_ms, id)) = self.ended_order.front() else {
-                return;
-            };
-            if context.wall_ms < ended_wall_ms.saturating_add(remember_ms) {
-                return;
-            }
-            context.ledger.ended.remove(id);
-            records.push(Record::job(id, None));
-            self.ended_order.pop_front();
-        }
-    }
-
-    /// Takes the answer to an append.
-    pub fn on_appended(
-        &mut self,
-        context: &mut Context<'_>,
-        ticket: ids::Ticket,
-        answer: AppendAnswer,
-    ) {
-        let Some(append) = self.in_flight.as_mut().filter(|append| append.ticket == ticket) else {
-            return;
-        };
-        match answer {
-            AppendAnswer::Stored { end } => self.on_stored(context, end),
-            AppendAnswer::Refused => {
-                append.has_failed = true;
-                append.retry_at = Some(context.now.saturating_add(context.options.log_retry));
-                tracing::warn!(append = ticket, "append refused, to be repeated");
-            }
-            AppendAnswer::NoAnswer => {
-                append.is_unsure = true;
-                append.has_failed = true;
-                append.retry_at = Some(context.now.saturating_add(context.options.log_retry));
-                tracing::warn!(append = ticket, "append without an answer, to be repeated");
-            }
-            AppendAnswer::Moved if append.is_unsure => {
-                // Either an earlier attempt was carried out after all, or another host has claimed.
-                let read = Read::From { offset: self.end, wait: time::Duration::ZERO };
-                append.is_resolving = true;
-                let timeout = context.options.log_timeout;
-                context.effects.push(Effect::Read { topic: Topic::Cell, read, timeout });
-            }
-            AppendAnswer::Moved => self.deposed = Some("another host has claimed"),
-        }
-    }
-
-    /// Takes the records behind the last known end, after an append of which it is not known
-    /// whether it was carried out. None stands for a failed read.
-    pub fn on_resolved(
-        &mut self,
-        context: &mut Context<'_>,
-        records: Option<&[(ids::Offset, Record)]>,
-    ) {
-        // A read from before the claim may be answered now.
-        let Some(append) = self.in_flight.as_mut().filter(|append| append.is_resolving) else {
-            return;
-        };
-        if records
-            .is_some_and(|records| records.first().is_some_and(|(offset, _)| *offset < self.end))
-        {
-            return;
-        }
-        append.is_resolving = false;
-        let Some(records) = records.filter(|records| !records.is_empty()) else {
-            append.retry_at = Some(context.now.saturating_add(context.options.log_retry));
-            return;
-        };
-        let own = Batch { incarnation: self.incarnation, sequence: append.ticket };
-        let is_own = records.first().is_some_and(|(_, record)| {
-            matches!(record.to_change(), Ok(Some(Change::Batch(batch))) if batch == own)
-        });
-        if !is_own || records.len() > append.records.len() {
-            self.deposed = Some("another host has claimed");
-            return;
-        }
-        let added = u64::try_from(append.records.len()).unwrap_or(u64::MAX);
-        self.on_stored(context, self.end.saturating_add(added));
-    }
-
-    fn on_stored(&mut self, context: &mut Context<'_>, end: ids::Offset) {
-        let Some(append) = self.in_flight.take() else {
-            return;
-        };
-        self.end = end;
-        self.last_stored_at = context.now;
-        for (origin, verdict) in append.replies {
-            self.reply(context, origin, verdict);
-        }
-        for (job, state) in append.verdicts {
-            if let Some(to) = self.job_hosts.remove(&job) {
-                context.effects.push(Effect::Send { to, message: Message::Ended { job, state } });
-            }
-        }
-        for (worker, life, up_to) in append.ends {
-            let Some(worker) = self.workers.get_mut(&worker) else {
-                continue;
-            };
-            if worker.entry.life == life {
-                worker.ends_stored = worker.ends_stored.max(up_to);
-            }
-        }
-        if append.releases {
-            self.deposed = Some("the place was given up");
-            return;
-        }
-        self.send_starts(context, &append.orders);
-    }
-
     fn reply(&mut self, context: &mut Context<'_>, origin: Origin, verdict: Verdict) {
         match origin {
             Origin::Local(ticket) => self.local_verdicts.push((ticket, verdict)),
@@ -528,12 +303,3 @@
         job.progress.steps[task.step][task.index].last_run.saturating_add(1)
     }
 }
-
-fn append_effect(append: &InFlight, at: ids::Offset, options: &Options) -> Effect {
-    Effect::Append {
-        ticket: append.ticket,
-        at,
-        records: sync::Arc::clone(&append.records),
-        timeout: options.log_timeout,
-    }
-}
--- a/crates/cell/src/decider/orders.rs
+++ b/crates/cell/src/decider/orders.rs
@@ -99,7 +99,6 @@
         context.effects.push(Effect::Start {
             target: self.target(&self.workers[&run.worker]),
             order: Box::new(order),
-            decided_at: run.decided_at,
             timeout: context.options.order_timeout,
         });
         if let Some(run) = self.runs.get_mut(task) {
--- a/crates/cell/src/effect.rs
+++ b/crates/cell/src/effect.rs
@@ -97,8 +97,6 @@
         target: Target,
         /// The order.
         order: Box<StartOrder>,
-        /// When the decision was made.
-        decided_at: time::Duration,
         /// How long the answer may take.
         timeout: time::Duration,
     },
--- a/crates/cell/src/options.rs
+++ b/crates/cell/src/options.rs
@@ -10,8 +10,6 @@
     /// How long runs go on without contact to the decider. It covers a change of the decider and
     /// bounds how long work on an unreachable worker stays unresolved.
     pub lease: time::Duration,
-    /// How long a worker takes to stop a run.
-    pub stop_grace: time::Duration,
     /// How long a key that was revoked may still be accepted.
     pub revocation_bound: time::Duration,
     /// How long ended jobs are remembered.
@@ -73,7 +71,6 @@
         Self {
             longest_lease: millis(10_000),
             lease: millis(6_000),
-            stop_grace: millis(400),
             revocation_bound: millis(5_000),
             remember_ended: millis(120_000),
             follow_gap: millis(150),
--- a/crates/cell/tests/decider.rs
+++ b/crates/cell/tests/decider.rs
@@ -525,3 +525,65 @@
     assert_eq!(bench.decider.as_ref().and_then(Decider::deposed), None);
     assert_eq!(starts(&bench.store(&effects)), 1);
 }
+
+/// Guards against an account that has more running than its limit, with workers free.
+#[test]
+fn an_accounts_limit_holds_over_all_workers() {
+    let mut bench = Bench::new(queue(None));
+    let account =
+        Account { name: "team".into(), keys: vec!["key".into()], weight: 1, cap: cores(8) };
+    bench.directory = Directory::new(2, vec![queue(None)], vec![account], 100_000);
+    bench.list(&["w0", "w1", "w2", "w3"]);
+    let task = bench.submit(tasks(4, false));
+    for _ in 0..4 {
+        let effects = bench.advance(50);
+        bench.store(&effects);
+    }
+    assert_eq!(bench.started, 2, "two tasks of four cores are within eight");
+    let end = ListedEnd {
+        sequence: 1,
+        task: Some(task),
+        number: 1,
+        kind: Some(EndKind::Done),
+        checkpoint: None,
+    };
+    let worker = bench
+        .ledger
+        .live
+        .get("job")
+        .and_then(|job| match &job.progress.steps[0][0].phase {
+            pier_cell::progress::Phase::Ordered { worker, .. } => Some(worker.clone()),
+            _ => None,
+        })
+        .expect("the first task runs");
+    let now = bench.now;
+    bench.report(&worker, now, Vec::new(), vec![end]);
+    for _ in 0..2 {
+        let effects = bench.advance(50);
+        bench.store(&effects);
+    }
+    assert_eq!(bench.started, 3, "an end makes room for one more");
+}
+
+/// Guards against starts in a zone that operators took out of service, also of what was decided
+/// just before.
+#[test]
+fn a_zone_out_of_service_gets_no_starts() {
+    let mut bench = Bench::new(queue(None));
+    bench.list(&["w0", "w1"]);
+    bench.submit(tasks(1, false));
+    let decided = bench.advance(30);
+    bench.zones_out.insert("north".into());
+    bench.store(&decided);
+    for _ in 0..4 {
+        let effects = bench.advance(50);
+        bench.store(&effects);
+    }
+    assert_eq!(bench.started, 0);
+    bench.zones_out.clear();
+    for _ in 0..2 {
+        let effects = bench.advance(50);
+        bench.store(&effects);
+    }
+    assert_eq!(bench.started, 1, "work starts again when the zone is back");
+}
--- a/crates/cell/tests/sim/mod.rs
+++ b/crates/cell/tests/sim/mod.rs
@@ -447,7 +447,7 @@
                     self.send_event(host, after, Event::Appended { ticket, answer });
                 }
             }
-            Effect::Start { target, order, timeout, .. } => {
+            Effect::Start { target, order, timeout } => {
                 let is_late = self.rng.random_range(0..100) < self.late_orders_percent;
                 if is_late {
                     let (task, number) = (order.task.clone(), order.number);
--- a/crates/persimmonpier/src/lib.rs
+++ b/crates/persimmonpier/src/lib.rs
@@ -2,9 +2,11 @@
 //!
 //! It re-exports the crates that the programs are built from. It holds no logic of its own.
 
+pub use pier_cell as cell;
 pub use pier_core as core;
 pub use pier_decl as decl;
 pub use pier_front as front;
 pub use pier_link as link;
+pub use pier_node as node;
 pub use pier_policy as policy;
 pub use pier_state as state;
