Let a replaced decider say so, and give callers with little time most of it

A caller with under 200 ms left was answered at once without a try.

Change: a host that does not decide answers passed calls with the token of its last time; the margin kept for the answer is at most a quarter of the caller's time.

--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -73,7 +73,9 @@
         options: &Options,
     ) {
         let patience = patience.unwrap_or(options.caller_patience);
-        let answer_by = now.saturating_add(patience.saturating_sub(options.answer_margin));
+        // A caller with little time left still gets most of it.
+        let margin = options.answer_margin.min(patience / 4);
+        let answer_by = now.saturating_add(patience.saturating_sub(margin));
         let waiting = Waiting { wanted, arrived_at: now, answer_by, passed_to: None };
         self.waiting.insert(ticket, waiting);
     }
--- a/crates/cell/src/host/claim.rs
+++ b/crates/cell/src/host/claim.rs
@@ -14,6 +14,7 @@
 use crate::effect::Effect;
 use crate::event::AppendAnswer;
 use crate::host::{Host, Role, claim_records};
+use crate::peer::Message;
 
 /// Over how many steps of the stagger the hosts spread.
 const CLAIM_RANKS: u64 = 8;
@@ -31,7 +32,7 @@
     /// The fencing token of the connected decider.
     pub(super) fn decider_token(&self) -> Option<u64> {
         let placed = self.ledger.decider.as_ref()?;
-        if placed.claim.is_released {
+        if placed.claim.is_released || placed.token == self.deposed_token {
             return None;
         }
         (self.connected_to.as_ref() == Some(&placed.claim.host)).then_some(placed.token)
@@ -203,8 +204,17 @@
     }
 
     /// Another host decides. What was not stored is forgotten; the log tells what is.
-    pub(super) fn step_down(&mut self, now: time::Duration, reason: &'static str) {
+    pub(super) fn step_down(
+        &mut self,
+        now: time::Duration,
+        reason: &'static str,
+        out: &mut Vec<Effect>,
+    ) {
         tracing::warn!(reason, "stepping down");
+        for host in &self.peers {
+            let message = Message::NotDeciding { token: self.last_token };
+            out.push(Effect::Send { to: ids::HostId::clone(host), message });
+        }
         self.role = Role::Following;
         self.cell.restart(now);
         self.ledger = crate::ledger::Ledger::default();
--- a/crates/cell/src/host/mod.rs
+++ b/crates/cell/src/host/mod.rs
@@ -93,6 +93,8 @@
     told: BTreeMap<ids::JobId, (JobState, time::Duration)>,
     /// When the decider last said that it does not reach the log.
     log_lost_at: Option<time::Duration>,
+    /// The token of a decider that has said that it no longer decides.
+    deposed_token: u64,
     /// Where a claim of this host did not land. The log goes on behind it.
     missed_at: Option<ids::Offset>,
     /// The fencing token of this host's last time as decider.
@@ -122,6 +124,7 @@
             wanted_connection: None,
             disconnected_at: time::Duration::ZERO,
             log_lost_at: None,
+            deposed_token: 0,
             missed_at: None,
             told: BTreeMap::new(),
             last_token: 0,
@@ -244,7 +247,7 @@
             }
         }
         if let Some(reason) = deposed {
-            self.step_down(now, reason);
+            self.step_down(now, reason, effects);
         }
     }
 
@@ -393,6 +396,19 @@
                 self.told.insert(job, (state, now));
             }
             Message::AskAdviser { question } => out.push(Effect::Advise(question)),
+            Message::NotDeciding { token } => {
+                if self.decider_token() == Some(token) {
+                    tracing::warn!(host = %from, token, "the host does not decide any more");
+                    self.deposed_token = token;
+                } else if self.connected_to.as_ref() == Some(&from) {
+                    // Its claim is in the log, and it has not heard of that yet.
+                    self.calls.repeat_all();
+                }
+            }
+            Message::Submit { .. } | Message::Cancel { .. } if !self.is_decider() => {
+                let message = Message::NotDeciding { token: self.last_token };
+                out.push(Effect::Send { to: from, message });
+            }
             Message::Submit { ticket, spec } => {
                 self.with_decider(now, wall_ms, out, |decider, context| {
                     decider.on_submit(context, Origin::Remote(from, ticket), spec);
--- a/crates/cell/src/peer.rs
+++ b/crates/cell/src/peer.rs
@@ -22,6 +22,11 @@
         /// Its fencing token.
         token: u64,
     },
+    /// The sender does not decide: what was passed to it now has no effect.
+    NotDeciding {
+        /// The fencing token of its last time as decider.
+        token: u64,
+    },
     /// A job that a caller submitted.
     Submit {
         /// Names the call in the answer.
--- a/crates/cell/tests/cell_faults.rs
+++ b/crates/cell/tests/cell_faults.rs
@@ -206,6 +206,52 @@
     assert_eq!(retry_after_ms(&sim, "00000000000000c2"), Some(1_000), "no host serves");
 }
 
+/// Guards against callers that are kept waiting by a decider that was replaced: a host that is cut
+/// off together with it is still connected to it (Hladik scale-2).
+#[test]
+fn a_replaced_decider_keeps_no_caller_waiting() {
+    let mut sim = Sim::new(8, 5, 8);
+    // Long tasks, so that the decider looks at workers and hears of its successor from them.
+    sim.run_ms = 6_000;
+    sim.run_for(2_000);
+    let mut count = 0;
+    load(&mut sim, 1, &mut count);
+    let decider = sim.decider().expect("a decider");
+    let host = (decider + 1) % 5;
+    sim.hosts[decider].is_cut_from_store = true;
+    sim.hosts[host].is_cut_from_store = true;
+    // Its view of the declaration is still recent enough to take calls.
+    sim.run_for(1_700);
+    sim.submit(host, "00000000000000d1", "urgent", vec![step(1, 1)]);
+    sim.run_for(1_300);
+    assert!(sim.seen.answers.contains_key("00000000000000d1"), "no answer after 1.3 s");
+    sim.hosts[decider].is_cut_from_store = false;
+    sim.hosts[host].is_cut_from_store = false;
+    sim.run_for(20_000);
+    check(&sim);
+}
+
+/// Guards against a host that is not ready for long, and calls that wait for nothing: it reads of a
+/// claim before the claimant has the store's answer, and passes calls too early.
+#[test]
+fn calls_that_reach_a_decider_before_its_claim_is_answered_are_passed_again() {
+    let mut sim = Sim::new(9, 4, 8);
+    sim.run_for(2_000);
+    let decider = sim.decider().expect("a decider");
+    sim.kill_host(decider);
+    // Answers of appends are slow while reads are quick.
+    sim.append_answer_ms = 400;
+    for millis in 0..200 {
+        sim.run_for(10);
+        let host = (decider + 1 + millis % 3) % 4;
+        sim.submit(host, &format!("{millis:016x}"), "urgent", vec![step(1, 1)]);
+    }
+    sim.append_answer_ms = 0;
+    sim.run_for(6_000);
+    assert_eq!(sim.seen.unsure.len(), 0, "calls without an outcome: {:?}", sim.seen.unsure);
+    check(&sim);
+}
+
 /// Guards against a new decider that asks the adviser alone: hosts that restart together connect
 /// to the decider's address before its new process has claimed the place.
 #[test]
--- a/crates/cell/tests/sim/mod.rs
+++ b/crates/cell/tests/sim/mod.rs
@@ -92,6 +92,8 @@
     pub operators: store::Topic<OperatorRecord>,
     pub listed: store::Topic<Entry>,
     pub is_store_down: bool,
+    /// Added to the time until an append is answered.
+    pub append_answer_ms: u64,
     /// The time of one way to the store.
     pub store_ms: std::ops::Range<u64>,
     /// The part of appends whose answer is lost, in percent.
@@ -150,6 +152,7 @@
             operators: store::Topic::new(),
             listed: store::Topic::new(),
             is_store_down: false,
+            append_answer_ms: 0,
             store_ms: 2..8,
             lost_appends_percent: 0,
             late_orders_percent: 0,
@@ -443,7 +446,7 @@
                     let answer = AppendAnswer::NoAnswer;
                     self.send_event(host, 1_000, Event::Appended { ticket, answer });
                 } else {
-                    let after = self.delay(self.store_ms.clone());
+                    let after = self.delay(self.store_ms.clone()) + self.append_answer_ms;
                     self.send_event(host, after, Event::Appended { ticket, answer });
                 }
             }
