Keep no host awake for a call whose decider is gone

Cause: found on reading: the time by which a passed call may be given up lay in the past while the host was not cut off, so its event loop did not sleep until the call's end.

Change: such a time counts only while it lies ahead.

--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -173,13 +173,15 @@
         answered
     }
 
-    /// When the next call is given up at the latest.
-    pub fn due_at(&self, has_decider: bool) -> time::Duration {
+    /// When a call may have to be given up next.
+    pub fn due_at(&self, now: time::Duration, has_decider: bool) -> time::Duration {
         let mut due_at = time::Duration::MAX;
         for call in self.waiting.values() {
             due_at = due_at.min(call.answer_by);
-            if !has_decider {
-                due_at = due_at.min(call.arrived_at.saturating_add(DECIDER_PATIENCE));
+            // A call that was passed on may stay open after that, and must not keep the host awake.
+            let patience_ends_at = call.arrived_at.saturating_add(DECIDER_PATIENCE);
+            if !has_decider && (call.passed_to.is_none() || patience_ends_at > now) {
+                due_at = due_at.min(patience_ends_at);
             }
         }
         due_at
--- a/crates/cell/src/host/mod.rs
+++ b/crates/cell/src/host/mod.rs
@@ -167,7 +167,7 @@
     /// How long nothing is due if nothing happens.
     pub fn sleep(&self, now: time::Duration) -> time::Duration {
         let mut due_at = now.saturating_add(LONGEST_SLEEP);
-        due_at = due_at.min(self.calls.due_at(self.has_decider()));
+        due_at = due_at.min(self.calls.due_at(now, self.has_decider()));
         due_at = due_at.min(self.operators.due_at().unwrap_or(due_at));
         match &self.role {
             Role::Deciding(decider) => {
