--- a/crates/cell/src/advice.rs
+++ b/crates/cell/src/advice.rs
@@ -138,7 +138,7 @@
         }
     }
 
-    /// Forgets what is known of a worker that has begun another lifetime.
+    /// Forgets what is known of a worker that has begun another incarnation.
     pub fn forget(&mut self, worker: &str) {
         self.eligible.remove(worker);
         self.ineligible.remove(worker);
--- a/crates/cell/src/decider/looks.rs
+++ b/crates/cell/src/decider/looks.rs
@@ -61,7 +61,7 @@
                     token: self.token,
                 },
                 sent_at: context.now,
-                // After a failed look another lifetime may answer, with ends of its own.
+                // After a failed look another incarnation may answer, with ends of its own.
                 ends_stored: if worker.failed_looks == 0 { worker.ends_stored } else { 0 },
                 lease_until_ms,
                 wait,
--- a/crates/cell/src/decider/takeover.rs
+++ b/crates/cell/src/decider/takeover.rs
@@ -181,14 +181,14 @@
         worker.entry = entry;
     }
 
-    /// A worker has begun another lifetime. What was seen in the earlier one is gone with it; for
+    /// A worker has begun another incarnation. What was seen in the earlier one is gone with it; for
     /// the rest a look at the new one tells.
     pub(super) fn end_life(&mut self, context: &mut Context<'_>, id: &ids::WorkerId, life: Life) {
         let Some(worker) = self.workers.get(id) else {
             return;
         };
         let tasks: Vec<TaskRef> = worker.runs.iter().cloned().collect();
-        tracing::warn!(worker = %id, life, lost_runs = tasks.len(), "worker has a new lifetime");
+        tracing::warn!(worker = %id, life, lost_runs = tasks.len(), "worker has a new incarnation");
         for advice in self.advice.values_mut() {
             advice.forget(id);
         }
@@ -197,7 +197,7 @@
                 continue;
             };
             if run.is_listed || run.phase == RunPhase::Recording {
-                self.lose_run(context, &task, "the worker began another lifetime");
+                self.lose_run(context, &task, "the worker began another incarnation");
                 continue;
             }
             run.life = life;
--- a/crates/cell/src/event.rs
+++ b/crates/cell/src/event.rs
@@ -134,8 +134,8 @@
     /// The adviser's ticket is not valid.
     #[display("ticket not valid")]
     Ticket,
-    /// The worker is another one, or in another lifetime.
-    #[display("another lifetime")]
+    /// The worker is another one, or in another incarnation.
+    #[display("another incarnation")]
     OtherLife,
     /// The worker is unwell or does not take the order.
     #[display("refused")]
@@ -156,7 +156,7 @@
 /// An end that a worker lists.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ListedEnd {
-    /// The end's number in the worker's lifetime.
+    /// The end's number in the worker's incarnation.
     pub sequence: u64,
     /// The task; none when its name is not one of ours.
     pub task: Option<TaskRef>,
@@ -175,7 +175,7 @@
     Report {
         /// The worker's clock.
         clock_ms: u64,
-        /// Its lifetime, where it says so.
+        /// Its incarnation, where it says so.
         life: Option<Life>,
         /// What runs.
         running: Vec<ListedRun>,
--- a/crates/cell/src/progress.rs
+++ b/crates/cell/src/progress.rs
@@ -16,7 +16,7 @@
     Ordered {
         /// The worker that got the order.
         worker: ids::WorkerId,
-        /// The worker's lifetime.
+        /// The worker's incarnation.
         life: Life,
     },
     /// A run ended as done.
@@ -51,7 +51,7 @@
 }
 
 /// A task that differs from a new one: step, index, phase, last run, failures, last failed run,
-/// worker, lifetime, checkpoint. The phase is 0 for waiting, 1 for ordered and 2 for done.
+/// worker, incarnation, checkpoint. The phase is 0 for waiting, 1 for ordered and 2 for done.
 #[derive(Serialize, Deserialize)]
 struct Row(
     StepIndex,
--- a/crates/cell/src/run.rs
+++ b/crates/cell/src/run.rs
@@ -44,7 +44,7 @@
 pub struct Run {
     /// The worker that was ordered to run it.
     pub worker: ids::WorkerId,
-    /// The worker's lifetime.
+    /// The worker's incarnation.
     pub life: Life,
     /// The number of the start.
     pub number: RunNumber,
@@ -54,8 +54,8 @@
     pub need: Resources,
     /// Whose limit it counts against.
     pub account: Option<AccountId>,
-    /// A look has shown it in its worker's lifetime. Until then an order may have reached another
-    /// lifetime of the worker, because both can have one id and one address.
+    /// A look has shown it in its worker's incarnation. Until then an order may have reached another
+    /// incarnation of the worker, because both can have one id and one address.
     pub is_listed: bool,
     /// When it was decided.
     pub decided_at: time::Duration,
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -11,7 +11,7 @@
 use crate::job::{Label, TaskRef};
 use crate::options::Options;
 
-/// The lifetime of a worker: the Unix millisecond of its start.
+/// The incarnation of a worker: the Unix millisecond of its start.
 pub type Life = u64;
 
 /// A worker's own description, as the platform's list has it.
@@ -25,7 +25,7 @@
     pub service: ServiceId,
     /// Its availability zone.
     pub zone: ids::ZoneId,
-    /// Its lifetime.
+    /// Its incarnation.
     pub life: Life,
     /// Its labels, the rack among them.
     pub labels: Vec<Label>,
@@ -164,7 +164,7 @@
         self.last_failure_at = now;
     }
 
-    /// Starts a new lifetime: whatever ran before is gone.
+    /// Starts a new incarnation: whatever ran before is gone.
     pub fn begin_life(&mut self, entry: Entry) {
         self.entry = entry;
         self.is_contacted = false;
--- a/crates/cell/tests/sim/worker.rs
+++ b/crates/cell/tests/sim/worker.rs
@@ -16,7 +16,7 @@
     pub need: Resources,
 }
 
-/// One lifetime of a worker.
+/// One incarnation of a worker.
 #[derive(Debug)]
 pub struct SimWorker {
     pub id: String,
