Learn the workers' speeds, place by them, and do less per pass over what waits

Cause: a third of the workers takes 1.3 times as long, some turn 4 to 6 times slower or stand still, and tight steps went there as often as others.

Change: pace.rs learns how many times as long as usual a worker's tasks take, from run times against estimates and from percentages that stand still; place.rs takes a leeway: tight steps go to fast workers, patient ones spare them, gangs take workers of one speed or one rack. A step is choosy for 1.2 s at most. A run that stands still for 2 s is stopped and starts elsewhere. Passes look at workers with a ticket only, and list all workers only to ask the adviser.

The test of a run that stands still fails without the restart.

--- a/crates/cell/src/advice.rs
+++ b/crates/cell/src/advice.rs
@@ -17,6 +17,8 @@
 pub const TICKET_MARGIN: time::Duration = time::Duration::from_millis(250);
 /// The pause after a question without an answer.
 const RETRY: time::Duration = time::Duration::from_millis(300);
+/// The pause when there is nothing to ask about. It bounds the work for steps that wait for room.
+const IDLE_PAUSE: time::Duration = time::Duration::from_millis(60);
 
 /// Whether a question may name workers whose tickets have lapsed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -73,6 +75,25 @@
         self.eligible.values().any(|ticket| ticket.valid_until > usable_from)
     }
 
+    /// The workers with tickets that are valid long enough to be used.
+    pub fn ticketed(&self, now: time::Duration) -> impl Iterator<Item = &ids::WorkerId> {
+        let usable_from = now.saturating_add(TICKET_MARGIN);
+        self.eligible
+            .iter()
+            .filter(move |(_, ticket)| ticket.valid_until > usable_from)
+            .map(|(worker, _)| worker)
+    }
+
+    /// Whether a question may be asked now.
+    pub fn may_ask(&self, now: time::Duration) -> bool {
+        self.asked.is_none() && now >= self.retry_at
+    }
+
+    /// Asks nothing for a moment.
+    pub fn pause(&mut self, now: time::Duration) {
+        self.retry_at = now.saturating_add(IDLE_PAUSE);
+    }
+
     /// The workers to ask about, in the order of `candidates`: first those whose tickets are to be
     /// renewed, then those that nothing is known of.
     pub fn next_question(
@@ -81,7 +102,7 @@
         renewal: Renewal,
         candidates: &[ids::WorkerId],
     ) -> Option<Vec<ids::WorkerId>> {
-        if self.asked.is_some() || now < self.retry_at {
+        if !self.may_ask(now) {
             return None;
         }
         let mut unknown = Vec::new();
--- a/crates/cell/src/decider/looks.rs
+++ b/crates/cell/src/decider/looks.rs
@@ -182,6 +182,7 @@
                     run.phase = RunPhase::Running { since: context.now };
                 }
             }
+            self.note_progress(context, listed);
             let Some(job) = context.ledger.live.get_mut(&listed.task.job) else {
                 continue;
             };
--- a/crates/cell/src/decider/mod.rs
+++ b/crates/cell/src/decider/mod.rs
@@ -20,6 +20,7 @@
 use crate::ledger::Ledger;
 use crate::options::Options;
 use crate::order::ShareUse;
+use crate::pace::Paces;
 use crate::peer::{Message, Verdict};
 use crate::progress::Phase;
 use crate::record::Claim;
@@ -27,10 +28,13 @@
 use crate::worker::{Life, Worker};
 
 mod append;
+mod ask;
 mod intake;
 mod looks;
 mod orders;
+mod rooms;
 mod schedule;
+mod speeds;
 mod takeover;
 
 /// What the decider works with besides its own state.
@@ -107,6 +111,11 @@
     beyond_share: BTreeSet<ids::JobId>,
     advice: BTreeMap<(ids::JobId, StepIndex), StepAdvice>,
     asked: BTreeMap<ids::Ticket, Asked>,
+    /// The hosts that are asking; none is this host.
+    asking: BTreeSet<Option<ids::HostId>>,
+    paces: Paces,
+    /// Since when each waiting step waits, as far as this decider has seen.
+    waiting_since: BTreeMap<(ids::JobId, StepIndex), time::Duration>,
     /// The connected hosts, which can ask the adviser.
     peers: BTreeSet<ids::HostId>,
     /// Workers that are kept for a gang, with the priority of its queue.
--- a/crates/cell/src/decider/orders.rs
+++ b/crates/cell/src/decider/orders.rs
@@ -329,6 +329,9 @@
             .get(task)
             .is_some_and(|run| run.number == end.number && run.worker == *worker_id);
         if is_current {
+            if kind == EndKind::Done {
+                self.note_run_time(context, task);
+            }
             self.remove_run(context, task);
             if !matches!(kind, EndKind::Done | EndKind::Broken) {
                 self.break_gang(context, task);
--- a/crates/cell/src/decider/schedule.rs
+++ b/crates/cell/src/decider/schedule.rs
@@ -1,44 +1,44 @@
-//! Which waiting steps are placed, in which order, and for which the adviser is asked.
+//! Which waiting steps are placed, and in which order.
 
+use std::collections::BTreeMap;
 use std::sync;
 use std::time;
 
 use pier_core::ids;
 use pier_core::resources::Resources;
 
-use crate::advice::Renewal;
-use crate::decider::{Asked, Context, Decider};
-use crate::directory::{AdviceTerms, Queue};
-use crate::effect::Effect;
+use crate::decider::{Context, Decider};
 use crate::job::{JobSpec, Step, StepIndex, TaskIndex, TaskRef};
 use crate::order::{self, Rank};
-use crate::peer::{Advice, Message, Question};
-use crate::place::{self, Room};
+use crate::place::{self, Leeway};
 use crate::progress::Phase;
 use crate::run::{Run, RunPhase};
 use crate::worker::Life;
 
-/// Added to the time that the adviser takes by its terms before a question is given up.
-const ADVISER_SLACK: time::Duration = time::Duration::from_millis(800);
 /// The most gangs that keep workers for themselves at the same time. More would leave too little
 /// for the steps behind them.
 const MOST_KEEPING: usize = 2;
 
+/// How long a step waits for a worker that is fast enough for it. After that any will do: it must
+/// not wait where there is room.
+const CHOOSY_FOR: time::Duration = time::Duration::from_millis(1_200);
+
 /// A step with tasks that may start.
-struct Candidate {
-    rank: Rank,
-    job: ids::JobId,
-    step: StepIndex,
-    spec: sync::Arc<JobSpec>,
-    waiting: Vec<TaskIndex>,
+pub(super) struct Candidate {
+    pub(super) rank: Rank,
+    pub(super) leeway: Leeway,
+    pub(super) job: ids::JobId,
+    pub(super) step: StepIndex,
+    pub(super) spec: sync::Arc<JobSpec>,
+    pub(super) waiting: Vec<TaskIndex>,
 }
 
 impl Candidate {
-    fn step(&self) -> &Step {
+    pub(super) fn step(&self) -> &Step {
         &self.spec.steps[self.step]
     }
 
-    fn key(&self) -> (ids::JobId, StepIndex) {
+    pub(super) fn key(&self) -> (ids::JobId, StepIndex) {
         (ids::JobId::clone(&self.job), self.step)
     }
 }
@@ -49,7 +49,8 @@
         if !self.has_worker_list {
             return;
         }
-        let candidates = self.candidates(context);
+        let mut candidates = self.candidates(context);
+        self.note_waiting(context.now, &mut candidates);
         let mut keeping = 0;
         let mut still_keeping = Vec::new();
         for candidate in &candidates {
@@ -69,18 +70,10 @@
             if !has_ticket && self.idle_adviser_host().is_none() {
                 continue;
             }
-            let open = self.rooms(context, candidate, queue);
-            let mut rooms = open.clone();
-            if queue.advice.is_some() {
-                let key = candidate.key();
-                rooms.retain(|room| {
-                    self.advice
-                        .get(&key)
-                        .is_some_and(|advice| advice.ticket(context.now, &room.worker).is_some())
-                });
-            }
+            let mut rooms = self.ready_rooms(context, candidate, queue);
             let waiting = candidate.waiting.len();
-            let placed = place::place(candidate.step(), waiting, &limit, &mut rooms);
+            let placed =
+                place::place(candidate.step(), waiting, &limit, &candidate.leeway, &mut rooms);
             for (index, room) in candidate.waiting.iter().zip(&placed) {
                 self.order(context, candidate, *index, &rooms[*room].worker);
             }
@@ -89,14 +82,14 @@
             }
             let mut is_keeping = false;
             if candidate.step().gang && keeping < MOST_KEEPING {
-                is_keeping = self.keep_workers(candidate, &open, queue, &limit);
+                is_keeping = self.keep_workers(context, candidate, queue, &limit);
                 if is_keeping {
                     keeping += 1;
                     still_keeping.push(candidate.key());
                 }
             }
             if let Some(terms) = queue.advice {
-                self.ask(context, candidate, terms, open, &limit, is_keeping);
+                self.ask(context, candidate, queue, terms, &limit, is_keeping);
             }
         }
         self.kept.retain(|_, (job, step, _)| {
@@ -104,6 +97,22 @@
         });
     }
 
+    /// Notes since when each step waits, and lets those that have waited long go anywhere.
+    fn note_waiting(&mut self, now: time::Duration, candidates: &mut [Candidate]) {
+        let before = std::mem::take(&mut self.waiting_since);
+        let mut waiting_since = BTreeMap::new();
+        for candidate in candidates {
+            let key = candidate.key();
+            let since = before.get(&key).copied().unwrap_or(now);
+            if now >= since.saturating_add(CHOOSY_FOR) {
+                candidate.leeway.worst_slowness = f64::INFINITY;
+                candidate.leeway.split_slowness = 1.0;
+            }
+            waiting_since.insert(key, since);
+        }
+        self.waiting_since = waiting_since;
+    }
+
     /// The steps that may start, in the order in which they are placed.
     fn candidates(&self, context: &Context<'_>) -> Vec<Candidate> {
         let mut candidates = Vec::new();
@@ -114,7 +123,7 @@
         candidates
     }
 
-    fn push_candidates(
+    pub(super) fn push_candidates(
         &self,
         context: &Context<'_>,
         id: &ids::JobId,
@@ -133,8 +142,11 @@
         for (step, tasks) in job.progress.steps.iter().enumerate() {
             let mut waiting = Vec::new();
             for (index, task) in tasks.iter().enumerate() {
+                if task.phase != Phase::Waiting {
+                    continue;
+                }
                 let task_ref = TaskRef { job: ids::JobId::clone(id), step, index };
-                if task.phase == Phase::Waiting && !self.runs.contains_key(&task_ref) {
+                if !self.runs.contains_key(&task_ref) {
                     waiting.push(index);
                 }
             }
@@ -151,8 +163,11 @@
                 chains[step],
                 self.beyond_share.contains(id),
             );
+            let leeway =
+                order::leeway(rank, context.wall_ms, chains[step], context.options.remote_factor);
             candidates.push(Candidate {
                 rank,
+                leeway,
                 job: ids::JobId::clone(id),
                 step,
                 spec: sync::Arc::clone(&job.spec),
@@ -161,26 +176,7 @@
         }
     }
 
-    /// Asks the adviser about a job that was just taken, so that its tickets are there when the
-    /// next append begins.
-    pub(super) fn ask_early(&mut self, context: &mut Context<'_>, id: &ids::JobId) {
-        if !self.has_worker_list {
-            return;
-        }
-        let mut candidates = Vec::new();
-        self.push_candidates(context, id, &mut candidates);
-        for candidate in &candidates {
-            let queue = context.directory.queue(&candidate.spec.queue);
-            let Some((queue, terms)) = queue.and_then(|queue| Some((queue, queue.advice?))) else {
-                continue;
-            };
-            let limit = self.account_left(context, &candidate.spec);
-            let open = self.rooms(context, candidate, queue);
-            self.ask(context, candidate, terms, open, &limit, false);
-        }
-    }
-
-    fn account_left(&self, context: &Context<'_>, spec: &JobSpec) -> Resources {
+    pub(super) fn account_left(&self, context: &Context<'_>, spec: &JobSpec) -> Resources {
         let Some(name) = &spec.account else {
             return Resources::MAX;
         };
@@ -190,52 +186,6 @@
         account.cap.minus(&self.account_used.get(name).copied().unwrap_or_default())
     }
 
-    /// The workers that may run the step's tasks, with tickets or without.
-    fn rooms(&self, context: &Context<'_>, candidate: &Candidate, queue: &Queue) -> Vec<Room> {
-        let step = candidate.step();
-        let mut rooms = Vec::new();
-        for worker in self.workers.values() {
-            if worker.entry.service != queue.service
-                || !worker.takes_work(context.now)
-                || context.zones_out.contains(&worker.entry.zone)
-            {
-                continue;
-            }
-            if let Some(label) = &step.required_label
-                && !worker.entry.labels.contains(label)
-            {
-                continue;
-            }
-            let holder = self.kept.get(&worker.entry.id);
-            let is_kept = holder
-                .is_some_and(|(job, step, _)| *job != candidate.job || *step != candidate.step);
-            // More urgent steps may use kept workers if nothing else is left.
-            if is_kept && holder.is_some_and(|(_, _, priority)| *priority <= queue.priority) {
-                continue;
-            }
-            let spread_left = match step.spread_limit {
-                None => usize::MAX,
-                Some(limit) => {
-                    let here = worker
-                        .runs
-                        .iter()
-                        .filter(|task| task.job == candidate.job && task.step == candidate.step)
-                        .count();
-                    limit.saturating_sub(here)
-                }
-            };
-            rooms.push(Room {
-                worker: ids::WorkerId::clone(&worker.entry.id),
-                free: worker.free(),
-                capacity: worker.entry.capacity,
-                is_near: step.data_rack.as_ref().is_none_or(|rack| worker.rack() == Some(rack)),
-                spread_left,
-                is_kept,
-            });
-        }
-        rooms
-    }
-
     fn order(
         &mut self,
         context: &mut Context<'_>,
@@ -272,164 +222,11 @@
             account: candidate.spec.account.clone(),
             is_listed: false,
             decided_at: context.now,
+            is_resumed: state.checkpoint.is_some(),
+            progress: None,
         };
         self.dirty.insert(ids::JobId::clone(&candidate.job));
         self.orders.push(task.clone());
         self.insert_run(task, run);
     }
-
-    /// Keeps workers for a gang that does not fit now. Returns whether it keeps any.
-    fn keep_workers(
-        &mut self,
-        candidate: &Candidate,
-        open: &[Room],
-        queue: &Queue,
-        limit: &Resources,
-    ) -> bool {
-        let key = candidate.key();
-        let waiting = candidate.waiting.len();
-        let held = self.kept.iter().filter(|(_, (job, step, _))| *job == key.0 && *step == key.1);
-        let mut held_count = 0;
-        let mut is_held_open = true;
-        for (worker, _) in held {
-            held_count += 1;
-            is_held_open = is_held_open && open.iter().any(|room| room.worker == *worker);
-        }
-        if held_count > 0 && is_held_open {
-            return true;
-        }
-        self.kept.retain(|_, (job, step, _)| *job != key.0 || *step != key.1);
-        // Workers are of no use while the account's limit is in the way.
-        if place::times(&candidate.step().need, limit) < waiting {
-            return false;
-        }
-        let mut rooms = open.to_vec();
-        if queue.advice.is_some() {
-            rooms.retain(|room| {
-                self.advice.get(&key).is_some_and(|advice| advice.is_eligible(&room.worker))
-            });
-        }
-        let Some(kept) = place::keep(candidate.step(), waiting, &rooms) else {
-            return false;
-        };
-        tracing::info!(job = %candidate.job, step = candidate.step, workers = kept.len(),
-            "workers kept for a gang");
-        for worker in kept {
-            let holder = (ids::JobId::clone(&key.0), key.1, queue.priority);
-            self.kept.insert(worker, holder);
-        }
-        true
-    }
-
-    /// Asks the adviser about the step, if that can help it to start.
-    fn ask(
-        &mut self,
-        context: &mut Context<'_>,
-        candidate: &Candidate,
-        terms: AdviceTerms,
-        mut open: Vec<Room>,
-        limit: &Resources,
-        is_keeping: bool,
-    ) {
-        let Some(host) = self.idle_adviser_host() else {
-            return;
-        };
-        let step = candidate.step();
-        let advice = self.advice.entry(candidate.key()).or_default();
-        let is_first = advice.eligible().next().is_none();
-        open.sort_by_key(|room| std::cmp::Reverse(room.free.dominant_share_ppm(&room.capacity)));
-        if step.gang {
-            open.retain(|room| place::times(&step.need, &room.capacity) > 0);
-        } else if !is_first {
-            open.retain(|room| step.need.fits_in(&room.free) && room.spread_left > 0);
-        }
-        let names: Vec<ids::WorkerId> =
-            open.iter().map(|room| ids::WorkerId::clone(&room.worker)).collect();
-        // Tickets of a gang are renewed only while they can be of use: it fits now, or workers are
-        // kept for it. Workers that nothing is known of are always of interest.
-        let renewal = if !step.gang {
-            Renewal::Ahead(time::Duration::ZERO)
-        } else if is_keeping {
-            Renewal::Ahead(terms.base)
-        } else {
-            open.retain(|room| advice.is_eligible(&room.worker));
-            let waiting = candidate.waiting.len();
-            if place::place(step, waiting, limit, &mut open).len() == waiting {
-                Renewal::Ahead(time::Duration::ZERO)
-            } else {
-                Renewal::No
-            }
-        };
-        let Some(workers) = advice.next_question(context.now, renewal, &names) else {
-            return;
-        };
-        advice.note_asked(workers.clone());
-        let named = u32::try_from(workers.len()).unwrap_or(u32::MAX);
-        let expected = terms.base.saturating_add(terms.per_worker.saturating_mul(named));
-        let timeout = expected.saturating_add(ADVISER_SLACK);
-        let ticket = self.ticket();
-        let question = Question {
-            ticket,
-            job: ids::JobId::clone(&candidate.job),
-            step: candidate.step,
-            workers,
-            timeout_ms: pier_core::clock::millis(timeout),
-        };
-        tracing::debug!(job = %candidate.job, step = candidate.step, workers = named,
-            host = host.as_deref(), "adviser asked");
-        let asked = Asked {
-            job: ids::JobId::clone(&candidate.job),
-            step: candidate.step,
-            host: host.clone(),
-            gives_up_at: context.now.saturating_add(timeout).saturating_add(ADVISER_SLACK),
-        };
-        self.asked.insert(ticket, asked);
-        context.effects.push(match host {
-            Some(to) => Effect::Send { to, message: Message::AskAdviser { question } },
-            None => Effect::Advise(question),
-        });
-    }
-
-    /// A host that is not asking: the adviser takes one question at a time from each. This host
-    /// comes last, because it has the most other work. None when all are asking.
-    fn idle_adviser_host(&self) -> Option<Option<ids::HostId>> {
-        for host in &self.peers {
-            if !self.asked.values().any(|asked| asked.host.as_ref() == Some(host)) {
-                return Some(Some(ids::HostId::clone(host)));
-            }
-        }
-        let is_own_busy = self.asked.values().any(|asked| asked.host.is_none());
-        (!is_own_busy).then_some(None)
-    }
-
-    /// Takes an answer of the adviser; none when there is none.
-    pub fn on_advice(
-        &mut self,
-        context: &mut Context<'_>,
-        ticket: ids::Ticket,
-        answer: Option<&Advice>,
-    ) {
-        let Some(asked) = self.asked.remove(&ticket) else {
-            return;
-        };
-        if answer.is_none() {
-            tracing::warn!(job = %asked.job, step = asked.step, host = asked.host.as_deref(),
-                "no advice");
-        }
-        if let Some(advice) = self.advice.get_mut(&(asked.job, asked.step)) {
-            advice.note_answer(context.now, answer);
-        }
-    }
-
-    pub(super) fn give_up_questions(&mut self, context: &mut Context<'_>) {
-        let mut lost = Vec::new();
-        for (ticket, asked) in &self.asked {
-            if context.now >= asked.gives_up_at {
-                lost.push(*ticket);
-            }
-        }
-        for ticket in lost {
-            self.on_advice(context, ticket, None);
-        }
-    }
 }
--- /dev/null
+++ b/crates/cell/src/decider/speeds.rs
@@ -0,0 +1,79 @@
+//! What run times and progress tell of the workers.
+
+use std::time;
+
+use pier_core::ids;
+
+use crate::decider::{Context, Decider};
+use crate::event::ListedRun;
+use crate::job::TaskRef;
+use crate::run::RunPhase;
+
+/// A run whose progress has not changed for so long stands still, if it should have moved by then.
+const STALL_AFTER: time::Duration = time::Duration::from_millis(1_000);
+/// The part of a run in which progress must show. Workers tell it in whole percent.
+const VISIBLE_PART: f64 = 0.1;
+/// A run that stands still for so long is stopped and starts elsewhere.
+const RESTART_AFTER: time::Duration = time::Duration::from_millis(2_000);
+
+impl Decider {
+    /// Learns from a run that has ended as done.
+    pub(super) fn note_run_time(&mut self, context: &Context<'_>, task: &TaskRef) {
+        let (Some(run), Some(job)) = (self.runs.get(task), context.ledger.live.get(&task.job))
+        else {
+            return;
+        };
+        let (RunPhase::Running { since }, Some(step)) = (run.phase, job.spec.steps.get(task.step))
+        else {
+            return;
+        };
+        let rack = self.workers.get(&run.worker).and_then(|worker| worker.rack());
+        let is_near = step.data_rack.is_none() || step.data_rack.as_ref() == rack;
+        // The members of a gang end together, and a resumed run takes only the rest of its time.
+        if step.gang || run.is_resumed || !is_near {
+            return;
+        }
+        let took = context.now.saturating_sub(since);
+        self.paces.note_done(context.now, &job.spec.queue, &run.worker, took, step.estimate());
+    }
+
+    /// Learns from the progress of a run that a worker lists. A run that stands still is stopped.
+    pub(super) fn note_progress(&mut self, context: &Context<'_>, listed: &ListedRun) {
+        let (Some(run), Some(job)) =
+            (self.runs.get_mut(&listed.task), context.ledger.live.get(&listed.task.job))
+        else {
+            return;
+        };
+        let (RunPhase::Running { since }, Some(percent), Some(step)) =
+            (run.phase, listed.percent, job.spec.steps.get(listed.task.step))
+        else {
+            return;
+        };
+        // The members of a gang also stand still while they wait for one another.
+        if step.gang {
+            return;
+        }
+        let first = if percent == 0 { since } else { context.now };
+        let (seen, moved_at) = *run.progress.get_or_insert((percent, first));
+        if percent != seen {
+            run.progress = Some((percent, context.now));
+            self.paces.note_moving(&run.worker);
+            return;
+        }
+        let still = context.now.saturating_sub(moved_at);
+        let whole = self.paces.expected(&job.spec.queue, step.estimate());
+        if still < STALL_AFTER || still < whole.mul_f64(VISIBLE_PART) {
+            return;
+        }
+        let worker = ids::WorkerId::clone(&run.worker);
+        let still_ms = pier_core::clock::millis(still);
+        let is_stopped = still >= RESTART_AFTER;
+        tracing::warn!(job = %listed.task.job, step = listed.task.step, task = listed.task.index,
+            run = listed.number, worker = %worker, percent, still_ms, is_stopped,
+            "run stands still");
+        self.paces.note_stalled(context.now, &worker);
+        if is_stopped {
+            self.stop_run(&listed.task);
+        }
+    }
+}
--- a/crates/cell/src/decider/takeover.rs
+++ b/crates/cell/src/decider/takeover.rs
@@ -12,6 +12,7 @@
 use crate::event::WorkerRecord;
 use crate::follow::Learned;
 use crate::job::TaskRef;
+use crate::pace::Paces;
 use crate::progress::Phase;
 use crate::run::{Run, RunPhase};
 use crate::worker::{Entry, Life, Worker};
@@ -57,6 +58,9 @@
             beyond_share: BTreeSet::new(),
             advice: BTreeMap::new(),
             asked: BTreeMap::new(),
+            asking: BTreeSet::new(),
+            paces: Paces::default(),
+            waiting_since: BTreeMap::new(),
             peers: BTreeSet::new(),
             kept: Map::default(),
             local_verdicts: Vec::new(),
@@ -84,6 +88,8 @@
                         account: job.spec.account.clone(),
                         is_listed: false,
                         decided_at: context.now,
+                        is_resumed: true,
+                        progress: None,
                     };
                     adopted.push((TaskRef { job: ids::JobId::clone(id), step, index }, run));
                 }
@@ -189,6 +195,7 @@
         };
         let tasks: Vec<TaskRef> = worker.runs.iter().cloned().collect();
         tracing::warn!(worker = %id, life, lost_runs = tasks.len(), "worker has a new incarnation");
+        self.paces.forget(id);
         for advice in self.advice.values_mut() {
             advice.forget(id);
         }
--- a/crates/cell/src/event.rs
+++ b/crates/cell/src/event.rs
@@ -151,6 +151,8 @@
     pub number: RunNumber,
     /// The newest checkpoint.
     pub checkpoint: Option<String>,
+    /// How much of it is done, where the worker says so.
+    pub percent: Option<u8>,
 }
 
 /// An end that a worker lists.
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod ledger;
 pub mod options;
 pub mod order;
+pub mod pace;
 pub mod peer;
 pub mod place;
 pub mod progress;
--- a/crates/cell/src/options.rs
+++ b/crates/cell/src/options.rs
@@ -63,6 +63,8 @@
     pub retry_after: time::Duration,
     /// The most jobs that may wait; further ones are rejected.
     pub most_waiting: usize,
+    /// How many times as long tasks take away from their data or, for gangs, on several racks.
+    pub remote_factor: f64,
 }
 
 impl Default for Options {
@@ -95,6 +97,7 @@
             answer_margin: millis(200),
             retry_after: millis(1_000),
             most_waiting: 2_000,
+            remote_factor: 3.0,
         }
     }
 }
--- a/crates/cell/src/order.rs
+++ b/crates/cell/src/order.rs
@@ -11,12 +11,18 @@
 
 use crate::directory::{Account, Queue};
 use crate::job::JobSpec;
+use crate::place::Leeway;
 
 /// An answer after so many times the objective is worth nothing to its caller.
 const WORTHLESS_AFTER: u32 = 3;
 /// The part of the objective, in percent, that is kept for the way of the orders and answers and for
 /// estimates that are too short.
 const MARGIN_PERCENT: u32 = 8;
+/// Workers that take less than so many times as long as usual are good enough for any step: what is
+/// learned of speeds is rough.
+const LEAST_TOLERANCE: f64 = 1.6;
+/// A step whose tasks may take so many times as long as usual leaves fast workers to others.
+const SPARING_TOLERANCE: f64 = 2.0;
 /// An account may submit so many seconds' worth of its weight at once.
 const SHARE_BURST_S: f64 = 2.0;
 
@@ -72,6 +78,29 @@
     Rank { standing, priority: queue.priority, start_by_ms }
 }
 
+/// How much time the step has, from its rank. `remaining` is the longest chain that is left from the
+/// step on, `remote_factor` how many times as long tasks take away from their data.
+pub fn leeway(rank: Rank, wall_ms: u64, remaining: time::Duration, remote_factor: f64) -> Leeway {
+    let any = Leeway { spares_fast: true, split_slowness: remote_factor, ..Leeway::ANY };
+    match rank.standing {
+        Standing::InTime => {}
+        Standing::Late | Standing::BeyondShare => {
+            return Leeway { worst_slowness: f64::from(WORTHLESS_AFTER), ..any };
+        }
+        Standing::Overdue => return any,
+    }
+    let spare = time::Duration::from_millis(rank.start_by_ms.saturating_sub(wall_ms));
+    let tolerance = 1.0 + spare.as_secs_f64() / remaining.as_secs_f64();
+    if !tolerance.is_finite() {
+        return any;
+    }
+    Leeway {
+        worst_slowness: tolerance.max(LEAST_TOLERANCE),
+        spares_fast: tolerance >= SPARING_TOLERANCE,
+        split_slowness: remote_factor,
+    }
+}
+
 /// By when the job is to end, counted from its submission.
 pub fn objective(queue: &Queue, spec: &JobSpec) -> time::Duration {
     let slack = queue.slack_factor.max(1.0);
--- a/crates/cell/src/place.rs
+++ b/crates/cell/src/place.rs
@@ -3,12 +3,18 @@
 //! Answers packing under a load of odd sizes: each task goes where it leaves the least, so that
 //! whole workers stay free for wide and large steps. A gang that does not fit keeps workers for
 //! itself; later steps go elsewhere meanwhile, so that a stream of small tasks does not starve it.
+//!
+//! Answers workers of unequal speed, too: steps with little time go to fast workers, steps with
+//! time to spare leave those to them, and none goes where it would certainly be late.
+
+use std::collections::BTreeMap;
 
 use pier_core::ids;
 use pier_core::map::Set;
 use pier_core::resources::Resources;
 
-use crate::job::Step;
+use crate::job::{Label, Step};
+use crate::pace::Band;
 
 /// What the load of a moment allows on a worker.
 #[derive(Debug, Clone)]
@@ -19,25 +25,117 @@
     pub free: Resources,
     /// What it has.
     pub capacity: Resources,
-    /// Whether it is in the rack of the step's data.
-    pub is_near: bool,
+    /// Its rack.
+    pub rack: Option<Label>,
+    /// How many times as long as usual the step's tasks take there.
+    pub slowness: f64,
     /// How many more tasks of the step it may take by the spread limit.
     pub spread_left: usize,
     /// Whether it is kept for another step. It is then the last choice.
     pub is_kept: bool,
 }
 
+/// How much time a step has.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Leeway {
+    /// How many times as long as usual its tasks may take at most.
+    pub worst_slowness: f64,
+    /// It leaves fast workers to others if it can.
+    pub spares_fast: bool,
+    /// How many times as long the tasks of a gang take that should share a rack and does not.
+    pub split_slowness: f64,
+}
+
+impl Leeway {
+    /// A step that runs wherever there is room.
+    pub const ANY: Self =
+        Self { worst_slowness: f64::INFINITY, spares_fast: false, split_slowness: 1.0 };
+
+    /// The place of a band in the order of choice.
+    fn order(&self, band: Band) -> u8 {
+        match (band, self.spares_fast) {
+            (Band::Usual, false) | (Band::Slow, true) => 0,
+            (Band::Usual, true) | (Band::Slow, false) => 1,
+            (Band::VerySlow, _) => 2,
+        }
+    }
+}
+
 /// Chooses a worker for each of `count` tasks: the position in `rooms` of each. A gang gets all or
 /// nothing. The rooms are reduced by what was placed.
-pub fn place(step: &Step, count: usize, limit: &Resources, rooms: &mut [Room]) -> Vec<usize> {
+pub fn place(
+    step: &Step,
+    count: usize,
+    limit: &Resources,
+    leeway: &Leeway,
+    rooms: &mut [Room],
+) -> Vec<usize> {
+    let mut open = Vec::with_capacity(rooms.len());
+    for (index, room) in rooms.iter().enumerate() {
+        if room.slowness <= leeway.worst_slowness {
+            open.push(index);
+        }
+    }
+    if !step.gang {
+        return place_among(step, count, limit, leeway, rooms, &open);
+    }
+    for group in gang_groups(step, leeway, rooms, open) {
+        let before: Vec<Resources> = group.iter().map(|index| rooms[*index].free).collect();
+        let spread_before: Vec<usize> =
+            group.iter().map(|index| rooms[*index].spread_left).collect();
+        let placed = place_among(step, count, limit, leeway, rooms, &group);
+        if placed.len() == count {
+            return placed;
+        }
+        for (position, index) in group.iter().enumerate() {
+            rooms[*index].free = before[position];
+            rooms[*index].spread_left = spread_before[position];
+        }
+    }
+    Vec::new()
+}
+
+/// The sets of rooms that a gang tries in turn. Its members end together, so one on a slow worker
+/// holds all others: equal workers come first, and a mixture last.
+fn gang_groups(step: &Step, leeway: &Leeway, rooms: &[Room], open: Vec<usize>) -> Vec<Vec<usize>> {
+    let mut groups = Vec::new();
+    if step.same_rack {
+        let mut racks: BTreeMap<Option<&Label>, Vec<usize>> = BTreeMap::new();
+        for index in &open {
+            racks.entry(rooms[*index].rack.as_ref()).or_default().push(*index);
+        }
+        groups.extend(racks.into_values());
+        if leeway.split_slowness > leeway.worst_slowness {
+            return groups;
+        }
+    }
+    let mut bands: BTreeMap<u8, Vec<usize>> = BTreeMap::new();
+    for index in &open {
+        let order = leeway.order(Band::of(rooms[*index].slowness));
+        bands.entry(order).or_default().push(*index);
+    }
+    if bands.len() > 1 {
+        groups.extend(bands.into_values());
+    }
+    groups.push(open);
+    groups
+}
+
+fn place_among(
+    step: &Step,
+    count: usize,
+    limit: &Resources,
+    leeway: &Leeway,
+    rooms: &mut [Room],
+    among: &[usize],
+) -> Vec<usize> {
     let mut placed = Vec::with_capacity(count);
     let mut left = *limit;
-    let before: Vec<Room> = if step.gang { rooms.to_vec() } else { Vec::new() };
     for _ in 0..count {
         if !step.need.fits_in(&left) {
             break;
         }
-        let Some(best) = best_room(step, rooms) else {
+        let Some(best) = best_room(step, leeway, rooms, among) else {
             break;
         };
         let room = &mut rooms[best];
@@ -46,23 +144,21 @@
         left = left.minus(&step.need);
         placed.push(best);
     }
-    if step.gang && placed.len() < count {
-        rooms.clone_from_slice(&before);
-        placed.clear();
-    }
     placed
 }
 
-fn best_room(step: &Step, rooms: &[Room]) -> Option<usize> {
-    let mut best: Option<(usize, (bool, bool, u64))> = None;
-    for (index, room) in rooms.iter().enumerate() {
+fn best_room(step: &Step, leeway: &Leeway, rooms: &[Room], among: &[usize]) -> Option<usize> {
+    let mut best: Option<(usize, (bool, u8, u64))> = None;
+    for index in among {
+        let room = &rooms[*index];
         if room.spread_left == 0 || !step.need.fits_in(&room.free) {
             continue;
         }
         let rest = room.free.minus(&step.need);
-        let rank = (room.is_kept, !room.is_near, rest.dominant_share_ppm(&room.capacity));
+        let band = leeway.order(Band::of(room.slowness));
+        let rank = (room.is_kept, band, rest.dominant_share_ppm(&room.capacity));
         if best.is_none_or(|(_, best_rank)| rank < best_rank) {
-            best = Some((index, rank));
+            best = Some((*index, rank));
         }
     }
     best.map(|(index, _)| index)
--- a/crates/cell/src/run.rs
+++ b/crates/cell/src/run.rs
@@ -59,6 +59,10 @@
     pub is_listed: bool,
     /// When it was decided.
     pub decided_at: time::Duration,
+    /// Whether it continued from a checkpoint, so that it takes less than its task's whole time.
+    pub is_resumed: bool,
+    /// The percentage that was done when a look last saw it move, and the time of that look.
+    pub progress: Option<(u8, time::Duration)>,
 }
 
 /// How a run ended.
--- a/crates/cell/tests/decider.rs
+++ b/crates/cell/tests/decider.rs
@@ -495,7 +495,7 @@
         })
         .unwrap_or(bench.now);
     let other = TaskRef { job: "job".into(), step: 0, index: 1 };
-    let running = vec![ListedRun { task: other, number: 1, checkpoint: None }];
+    let running = vec![ListedRun { task: other, number: 1, checkpoint: None, percent: None }];
     bench.report("w0", sent_at, running, vec![end]);
     let mut extended = 0;
     // The log answers nothing for four seconds.
@@ -587,3 +587,57 @@
     }
     assert_eq!(bench.started, 1, "work starts again when the zone is back");
 }
+
+/// Guards against a task that waits for a worker that answers and does nothing: it is stopped there
+/// and starts elsewhere.
+#[test]
+fn a_run_that_stands_still_starts_elsewhere() {
+    let mut bench = Bench::new(queue(None));
+    bench.list(&["w0", "w1"]);
+    let task = bench.submit(tasks(1, false));
+    let effects = bench.advance(30);
+    let sent = bench.store(&effects);
+    let target = sent.iter().find_map(|effect| match effect {
+        Effect::Start { target, .. } => Some(target.worker.clone()),
+        _ => None,
+    });
+    let first = target.expect("a start");
+    bench.act(|decider, context| {
+        decider.on_start_answered(context, &task, 1, StartAnswer::Started { clock_ms: 6_000 });
+    });
+    let (mut stopped, mut second) = (false, None);
+    for _ in 0..12 {
+        let effects = bench.advance(500);
+        for effect in &effects {
+            match effect {
+                Effect::Look { target, sent_at, .. } if target.worker == first && !stopped => {
+                    let listed = ListedRun {
+                        task: task.clone(),
+                        number: 1,
+                        checkpoint: None,
+                        percent: Some(0),
+                    };
+                    bench.report(&first, *sent_at, vec![listed], Vec::new());
+                }
+                Effect::Look { target, sent_at, .. } => {
+                    bench.report(&target.worker, *sent_at, Vec::new(), Vec::new());
+                }
+                Effect::Stop { target, .. } => {
+                    assert_eq!(target.worker, first);
+                    stopped = true;
+                    bench.act(|decider, context| {
+                        decider.on_stop_answered(context, &task, 1, true);
+                    });
+                }
+                _ => {}
+            }
+        }
+        for effect in bench.store(&effects) {
+            if let Effect::Start { target, .. } = effect {
+                second = Some(target.worker);
+            }
+        }
+    }
+    assert!(stopped, "the run was stopped");
+    assert_eq!(second, Some(if &*first == "w0" { "w1".into() } else { "w0".into() }));
+}
--- /dev/null
+++ b/crates/cell/tests/pace.rs
@@ -0,0 +1,192 @@
+//! Speeds that are learned, and placement by them.
+
+use std::time;
+
+use pier_cell::job::Step;
+use pier_cell::pace::{Band, Paces};
+use pier_cell::place::{self, Leeway, Room};
+use pier_core::ids;
+use pier_core::resources::Resources;
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+
+const WORKERS: usize = 12;
+/// Every third worker takes so many times as long.
+const SLOWER: f64 = 1.3;
+
+fn true_slowness(worker: usize) -> f64 {
+    if worker % 3 == 2 { SLOWER } else { 1.0 }
+}
+
+fn id(worker: usize) -> ids::WorkerId {
+    format!("w{worker:02}").as_str().into()
+}
+
+fn seconds(amount: f64) -> time::Duration {
+    time::Duration::from_secs_f64(amount)
+}
+
+fn queue() -> ids::QueueId {
+    "queue".into()
+}
+
+fn cores(count: u64) -> Resources {
+    Resources { cpu_milli: count * 1_000, memory_mb: 1_000, ..Resources::ZERO }
+}
+
+fn room(worker: usize, free: u64, slowness: f64) -> Room {
+    Room {
+        worker: id(worker),
+        free: Resources { memory_mb: 100_000, ..cores(free) },
+        capacity: Resources { memory_mb: 100_000, ..cores(16) },
+        rack: Some(format!("r{}", worker % 2).as_str().into()),
+        slowness,
+        spread_left: usize::MAX,
+        is_kept: false,
+    }
+}
+
+/// Run times on every worker, with estimates that are off by a factor of the queue and by chance.
+fn learned(rng: &mut StdRng, runs_each: usize) -> Paces {
+    let mut paces = Paces::default();
+    for run in 0..runs_each {
+        // The last ones end after five seconds, two a second on each worker.
+        let at_s = 5.0 - 0.5 * f64::from(u32::try_from(runs_each - run).expect("few runs"));
+        for worker in 0..WORKERS {
+            let took = 0.8 * true_slowness(worker);
+            let estimate = took / true_slowness(worker) * 0.6 * rng.random_range(0.8..1.25);
+            paces.note_done(
+                seconds(at_s.max(0.0)),
+                &queue(),
+                &id(worker),
+                seconds(took),
+                seconds(estimate),
+            );
+        }
+    }
+    paces
+}
+
+/// Guards against workers of unequal speed that look alike because estimates are rough.
+#[test]
+fn workers_of_unequal_speed_are_told_apart() {
+    let mut rng = StdRng::seed_from_u64(3);
+    let paces = learned(&mut rng, 10);
+    for worker in 0..WORKERS {
+        let slowness = paces.slowness(time::Duration::from_secs(6), &id(worker));
+        let is_slow = Band::of(slowness) > Band::Usual;
+        assert_eq!(is_slow, true_slowness(worker) > 1.0, "worker {worker}: {slowness}");
+    }
+}
+
+/// Guards against a worker that is avoided for good after it was slow for some seconds.
+#[test]
+fn what_was_learned_fades() {
+    let mut paces = learned(&mut StdRng::seed_from_u64(4), 10);
+    for _ in 0..3 {
+        let at = time::Duration::from_secs(6);
+        paces.note_done(at, &queue(), &id(0), seconds(4.0), seconds(0.48));
+    }
+    let band = |secs| Band::of(paces.slowness(time::Duration::from_secs(secs), &id(0)));
+    assert_eq!(band(7), Band::VerySlow, "{}", paces.slowness(time::Duration::from_secs(7), &id(0)));
+    assert_eq!(band(90), Band::Usual);
+}
+
+/// Guards against new work for a worker whose tasks stand still although it answers, and against a
+/// worker that counts as stalled after it has recovered.
+#[test]
+fn a_stalled_worker_is_the_slowest_until_a_task_moves() {
+    let mut paces = Paces::default();
+    let now = time::Duration::from_secs(1);
+    paces.note_stalled(now, &id(0));
+    assert!(paces.slowness(now, &id(0)) > 100.0);
+    paces.note_moving(&id(0));
+    assert!(paces.slowness(now, &id(0)) < 1.1);
+}
+
+/// Plays tight and patient tasks on workers of unequal speed, one task each, and returns the part
+/// of the tight ones that end in time.
+fn play(paces: &Paces) -> f64 {
+    let tight = Leeway { worst_slowness: 1.6, spares_fast: false, split_slowness: 1.0 };
+    let patient = Leeway { worst_slowness: 4.0, spares_fast: true, split_slowness: 1.0 };
+    let now = time::Duration::from_secs(6);
+    let step = Step { tasks: 1, need: cores(16), ..Step::default() };
+    let mut rng = StdRng::seed_from_u64(6);
+    let mut busy_until_ms = [0_u64; WORKERS];
+    let (mut in_time, mut total) = (0_u32, 0_u32);
+    for now_ms in (0..60_000_u64).step_by(100) {
+        // Tight tasks keep four workers busy and patient ones five: three quarters of the cell.
+        let due = [(now_ms % 200 == 0, &tight, 800), (now_ms % 500 == 0, &patient, 2_500)];
+        for (is_due, leeway, work_ms) in due {
+            if !is_due {
+                continue;
+            }
+            let mut rooms = Vec::new();
+            for (worker, until_ms) in busy_until_ms.iter().enumerate() {
+                if now_ms >= *until_ms {
+                    rooms.push(room(worker, 16, paces.slowness(now, &id(worker))));
+                }
+            }
+            rooms.shuffle(&mut rng);
+            let placed = place::place(&step, 1, &Resources::MAX, leeway, &mut rooms);
+            let Some(chosen) = placed.first().map(|index| &rooms[*index].worker) else {
+                continue;
+            };
+            let worker = (0..WORKERS).find(|worker| id(*worker) == *chosen).expect("a worker");
+            let took_ms = if true_slowness(worker) > 1.0 { work_ms * 13 / 10 } else { work_ms };
+            busy_until_ms[worker] = now_ms + took_ms;
+            if work_ms == 800 {
+                total += 1;
+                in_time += u32::from(took_ms <= 900);
+            }
+        }
+    }
+    f64::from(in_time) / f64::from(total)
+}
+
+/// Guards against tight tasks on slow workers while patient ones hold the fast: the load of a cell
+/// in which a third of the workers is slower.
+#[test]
+fn tight_tasks_get_the_fast_workers() {
+    let unknown = play(&Paces::default());
+    let known = play(&learned(&mut StdRng::seed_from_u64(5), 10));
+    assert!(unknown < 0.8, "the load does not tell placements apart: {unknown}");
+    assert!(known > 0.95, "{known} in time, {unknown} with speeds unknown");
+}
+
+/// Guards against a gang that waits for its slowest member: equal workers come first.
+#[test]
+fn a_gang_takes_workers_of_one_speed_if_it_can() {
+    let step = Step { tasks: 4, need: cores(8), gang: true, ..Step::default() };
+    // The fullest workers come first by packing alone, and they differ in speed.
+    let mut rooms = vec![room(0, 8, 1.0), room(1, 8, 1.3), room(2, 16, 1.0), room(3, 16, 1.0)];
+    let placed = place::place(&step, 4, &Resources::MAX, &Leeway::ANY, &mut rooms);
+    assert_eq!(placed.len(), 4);
+    assert!(!placed.contains(&1), "{placed:?}");
+}
+
+/// Guards against a gang that is split over racks although one rack has room for it, and against
+/// one that waits for good for a rack.
+#[test]
+fn a_gang_that_should_share_a_rack_does() {
+    let step = Step { tasks: 4, need: cores(8), gang: true, same_rack: true, ..Step::default() };
+    let strict = Leeway { worst_slowness: 2.0, spares_fast: false, split_slowness: 3.0 };
+    let mut rooms = vec![room(0, 16, 1.0), room(1, 16, 1.0), room(2, 8, 1.0), room(3, 16, 1.0)];
+    let placed = place::place(&step, 4, &Resources::MAX, &strict, &mut rooms);
+    assert_eq!(placed.len(), 4);
+    assert!(placed.iter().all(|index| index % 2 == 1), "{placed:?}");
+    let mut rooms = vec![room(0, 16, 1.0), room(1, 16, 1.0)];
+    assert!(place::place(&step, 4, &Resources::MAX, &strict, &mut rooms).is_empty());
+    assert_eq!(place::place(&step, 4, &Resources::MAX, &Leeway::ANY, &mut rooms).len(), 4);
+}
+
+/// Guards against tasks that are sent where they would certainly be late.
+#[test]
+fn a_step_waits_rather_than_go_to_a_worker_that_is_far_too_slow() {
+    let step = Step { tasks: 1, need: cores(8), ..Step::default() };
+    let leeway = Leeway { worst_slowness: 2.0, spares_fast: false, split_slowness: 1.0 };
+    let mut rooms = vec![room(0, 16, 4.5)];
+    assert!(place::place(&step, 1, &Resources::MAX, &leeway, &mut rooms).is_empty());
+    assert_eq!(place::place(&step, 1, &Resources::MAX, &Leeway::ANY, &mut rooms), vec![0]);
+}
--- a/crates/cell/tests/sim/worker.rs
+++ b/crates/cell/tests/sim/worker.rs
@@ -183,7 +183,12 @@
         self.ended.retain(|end| end.sequence > forgotten);
         let mut running = Vec::new();
         for (task, run) in &self.running {
-            running.push(ListedRun { task: task.clone(), number: run.number, checkpoint: None });
+            running.push(ListedRun {
+                task: task.clone(),
+                number: run.number,
+                checkpoint: None,
+                percent: None,
+            });
         }
         LookAnswer::Report {
             clock_ms: self.clock_ms(now_ms),
