--- a/crates/cell/src/advice.rs
+++ b/crates/cell/src/advice.rs
@@ -43,16 +43,12 @@
 pub struct StepAdvice {
     eligible: BTreeMap<ids::WorkerId, Ticket>,
     ineligible: BTreeSet<ids::WorkerId>,
-    asked: Option<Vec<ids::WorkerId>>,
+    asked: BTreeSet<ids::WorkerId>,
+    questions: usize,
     retry_at: time::Duration,
 }
 
 impl StepAdvice {
-    /// Whether a question is under way.
-    pub fn is_asked(&self) -> bool {
-        self.asked.is_some()
-    }
-
     /// Whether the worker is known to be eligible, whatever the age of its ticket.
     pub fn is_eligible(&self, worker: &str) -> bool {
         self.eligible.contains_key(worker)
@@ -84,9 +80,14 @@
             .map(|(worker, _)| worker)
     }
 
+    /// How many questions are under way.
+    pub fn questions(&self) -> usize {
+        self.questions
+    }
+
     /// Whether a question may be asked now.
     pub fn may_ask(&self, now: time::Duration) -> bool {
-        self.asked.is_none() && now >= self.retry_at
+        now >= self.retry_at
     }
 
     /// Asks nothing for a moment.
@@ -94,60 +95,66 @@
         self.retry_at = now.saturating_add(IDLE_PAUSE);
     }
 
-    /// The workers to ask about, in the order of `candidates`: first those whose tickets are to be
-    /// renewed, then those that nothing is known of.
-    pub fn next_question(
+    /// Whether nothing is known of the worker and no question about it is under way.
+    pub fn is_unknown(&self, worker: &str) -> bool {
+        !self.eligible.contains_key(worker)
+            && !self.ineligible.contains(worker)
+            && !self.asked.contains(worker)
+    }
+
+    /// Those of the workers whose tickets are to be renewed, as many as a question may name.
+    pub fn lapsing(
         &self,
         now: time::Duration,
         renewal: Renewal,
-        candidates: &[ids::WorkerId],
-    ) -> Option<Vec<ids::WorkerId>> {
-        if !self.may_ask(now) {
-            return None;
-        }
-        let mut unknown = Vec::new();
-        let mut renewable = Vec::new();
-        for worker in candidates {
-            if let Some(ticket) = self.eligible.get(worker) {
-                if let Renewal::Ahead(ahead) = renewal
-                    && ticket.valid_until <= now + TICKET_MARGIN + ahead
-                {
-                    renewable.push(ids::WorkerId::clone(worker));
-                }
-                continue;
-            }
-            if !self.ineligible.contains(worker) {
-                unknown.push(ids::WorkerId::clone(worker));
+        workers: &[ids::WorkerId],
+    ) -> Vec<ids::WorkerId> {
+        let mut lapsing = Vec::new();
+        let Renewal::Ahead(ahead) = renewal else {
+            return lapsing;
+        };
+        for worker in workers {
+            let is_lapsing = self
+                .eligible
+                .get(worker)
+                .is_some_and(|ticket| ticket.valid_until <= now + TICKET_MARGIN + ahead);
+            if is_lapsing && lapsing.len() < MOST_NAMED && !self.asked.contains(worker) {
+                lapsing.push(ids::WorkerId::clone(worker));
             }
         }
-        renewable.append(&mut unknown);
-        renewable.truncate(MOST_NAMED);
-        (!renewable.is_empty()).then_some(renewable)
+        lapsing
     }
 
-    /// Notes that the workers were asked about.
-    pub fn note_asked(&mut self, workers: Vec<ids::WorkerId>) {
-        self.asked = Some(workers);
+    /// Notes that a question about the workers is under way.
+    pub fn note_asked(&mut self, workers: &[ids::WorkerId]) {
+        self.questions += 1;
+        self.asked.extend(workers.iter().cloned());
     }
 
-    /// Takes the answer.
-    pub fn note_answer(&mut self, now: time::Duration, answer: Option<&Advice>) {
-        let asked = self.asked.take().unwrap_or_default();
+    /// Takes the answer to a question about the workers; none when none came.
+    pub fn note_answer(
+        &mut self,
+        now: time::Duration,
+        asked: &[ids::WorkerId],
+        answer: Option<&Advice>,
+    ) {
+        self.questions = self.questions.saturating_sub(1);
+        for worker in asked {
+            self.asked.remove(worker);
+        }
         let Some(answer) = answer else {
             self.retry_at = now.saturating_add(RETRY);
             return;
         };
         let valid_until = now.saturating_add(time::Duration::from_millis(answer.valid_ms));
         for worker in asked {
-            match answer.eligible.iter().find(|(eligible, _)| *eligible == worker) {
-                Some((_, text)) => {
-                    let ticket = Ticket { text: text.clone(), valid_until };
-                    self.eligible.insert(worker, ticket);
-                }
-                None => {
-                    self.eligible.remove(&worker);
-                    self.ineligible.insert(worker);
-                }
+            self.eligible.remove(worker);
+            self.ineligible.insert(ids::WorkerId::clone(worker));
+        }
+        for (worker, text) in &answer.eligible {
+            if self.ineligible.remove(worker) {
+                let ticket = Ticket { text: text.clone(), valid_until };
+                self.eligible.insert(ids::WorkerId::clone(worker), ticket);
             }
         }
     }
--- a/crates/cell/src/decider/append.rs
+++ b/crates/cell/src/decider/append.rs
@@ -59,7 +59,7 @@
             return;
         }
         self.log_lost_told_at = context.now;
-        for host in &self.peers {
+        for host in self.peers.keys() {
             let message = Message::LogLost { token: self.token };
             context.effects.push(Effect::Send { to: ids::HostId::clone(host), message });
         }
@@ -232,9 +232,11 @@
         for (origin, verdict) in append.replies {
             self.reply(context, origin, verdict);
         }
-        for (job, state) in append.verdicts {
-            if let Some(to) = self.job_hosts.remove(&job) {
-                context.effects.push(Effect::Send { to, message: Message::Ended { job, state } });
+        if !append.verdicts.is_empty() {
+            // Callers ask any host, and the log reaches the others later.
+            for host in self.peers.keys() {
+                let message = Message::Ended { states: append.verdicts.clone() };
+                context.effects.push(Effect::Send { to: ids::HostId::clone(host), message });
             }
         }
         for (worker, life, up_to) in append.ends {
@@ -243,6 +245,7 @@
             };
             if worker.entry.life == life {
                 worker.ends_stored = worker.ends_stored.max(up_to);
+                self.touched.insert(ids::WorkerId::clone(&worker.entry.id));
             }
         }
         if append.releases {
--- a/crates/cell/src/decider/intake.rs
+++ b/crates/cell/src/decider/intake.rs
@@ -52,9 +52,6 @@
         }
         tracing::info!(job = %id, queue = %spec.queue, account = spec.account.as_deref(),
             is_beyond_share, steps = spec.steps.len(), version = context.directory.version, "job taken");
-        if let Origin::Remote(host, _) = &origin {
-            self.job_hosts.insert(ids::JobId::clone(&id), ids::HostId::clone(host));
-        }
         let progress = Progress::new(&spec);
         let job = LiveJob { accepted_wall_ms: context.wall_ms, spec, progress };
         context.ledger.live.insert(ids::JobId::clone(&id), job);
--- a/crates/cell/src/decider/looks.rs
+++ b/crates/cell/src/decider/looks.rs
@@ -7,7 +7,7 @@
 use pier_core::map::Set;
 
 use crate::decider::{Context, Decider};
-use crate::effect::{Effect, Target};
+use crate::effect::{Effect, Target, WorkerAsk};
 use crate::event::{ListedEnd, ListedRun, LookAnswer};
 use crate::job::TaskRef;
 use crate::run::{Run, RunPhase};
@@ -18,6 +18,12 @@
 /// The pause between looks while the log has not taken the ends that were read. The worker lists them
 /// again at once, but its leases must be extended all the same.
 const UNSTORED_PAUSE: time::Duration = time::Duration::from_millis(1_000);
+/// How much later than its own time limit the answer to a call may come.
+const REPLY_PATIENCE: time::Duration = time::Duration::from_millis(1_000);
+/// The longest time between two passes over all workers.
+const LONGEST_TIMER: time::Duration = time::Duration::from_millis(200);
+/// The pause between passes over workers whose leases may have ended.
+const LEASE_CHECK_PAUSE: time::Duration = time::Duration::from_millis(100);
 /// A worker lists at most so many ends at once, so a run that is missing may be among the others.
 const MOST_LISTED_ENDS: usize = 500;
 /// After so many failed looks no lease is extended any more, so that it is known when they end.
@@ -26,50 +32,79 @@
 const MOST_PAUSES: u32 = 4;
 
 impl Decider {
-    /// Sends the looks that are due.
+    /// Sends the looks that are due: those at workers of which something was heard or that were sent
+    /// something, and from time to time at all others.
     pub(super) fn send_looks(&mut self, context: &mut Context<'_>) {
-        let has_log =
-            context.now <= self.last_stored_at.saturating_add(context.options.extend_without_log);
-        for worker in self.workers.values_mut() {
-            let is_wanted = !worker.runs.is_empty() || (worker.is_listed && !worker.is_contacted);
-            if !is_wanted
-                || worker.look_sent_at.is_some()
-                || context.now < worker.look_due_at
-                || worker.entry.address.is_empty()
-                || (worker.ends_read > worker.ends_stored
-                    && context.now < worker.looked_at.saturating_add(UNSTORED_PAUSE))
-            {
-                continue;
+        let touched = std::mem::take(&mut self.touched);
+        if context.now < self.look_timer_at {
+            for id in touched {
+                self.send_look(context, &id);
             }
-            let is_open = worker.runs.iter().any(|task| is_fate_open(self.runs.get(task)));
-            let wait = if is_open || !worker.is_contacted {
-                time::Duration::ZERO
-            } else {
-                context.options.look_wait
-            };
-            let lease_until_ms = if has_log && worker.failed_looks < LOOKS_WITH_LEASE {
-                worker.lease_until_ms(context.now, context.options)
-            } else {
-                None
-            };
-            worker.look_sent_at = Some(context.now);
-            worker.looked_at = context.now;
-            context.effects.push(Effect::Look {
-                target: Target {
-                    worker: ids::WorkerId::clone(&worker.entry.id),
-                    address: sync::Arc::clone(&worker.entry.address),
-                    token: self.token,
-                },
-                sent_at: context.now,
-                // After a failed look another incarnation may answer, with ends of its own.
-                ends_stored: if worker.failed_looks == 0 { worker.ends_stored } else { 0 },
-                lease_until_ms,
-                wait,
-                timeout: context.options.order_timeout,
-            });
+            return;
+        }
+        self.look_timer_at = context.now.saturating_add(LONGEST_TIMER);
+        let all: Vec<ids::WorkerId> = self.workers.keys().cloned().collect();
+        for id in all {
+            self.send_look(context, &id);
         }
     }
 
+    /// Sends a look at the worker if it is due, or notes when it will be.
+    fn send_look(&mut self, context: &mut Context<'_>, id: &ids::WorkerId) {
+        let options = context.options;
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        if let Some(sent_at) = worker.look_sent_at {
+            // A call that another host makes is answered by it in time, or it is gone.
+            let overdue = options.look_wait + options.order_timeout + REPLY_PATIENCE;
+            let overdue_at = sent_at.saturating_add(overdue);
+            if context.now >= overdue_at {
+                self.on_look_answered(context, id, sent_at, LookAnswer::NoAnswer);
+            }
+            return;
+        }
+        let is_wanted = !worker.runs.is_empty() || (worker.is_listed && !worker.is_contacted);
+        if !is_wanted || worker.entry.address.is_empty() {
+            return;
+        }
+        let mut due_at = worker.look_due_at;
+        if worker.ends_read > worker.ends_stored {
+            due_at = due_at.max(worker.looked_at.saturating_add(UNSTORED_PAUSE));
+        }
+        if context.now < due_at {
+            self.look_timer_at = self.look_timer_at.min(due_at);
+            return;
+        }
+        let is_open = worker.runs.iter().any(|task| is_fate_open(self.runs.get(task)));
+        let wait =
+            if is_open || !worker.is_contacted { time::Duration::ZERO } else { options.look_wait };
+        let has_log = context.now <= self.last_stored_at.saturating_add(options.extend_without_log);
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let lease_until_ms = if has_log && worker.failed_looks < LOOKS_WITH_LEASE {
+            worker.lease_until_ms(context.now, options)
+        } else {
+            None
+        };
+        worker.look_sent_at = Some(context.now);
+        worker.looked_at = context.now;
+        let ask = WorkerAsk::Look {
+            sent_at: context.now,
+            // After a failed look another incarnation may answer, with ends of its own.
+            ends_stored: if worker.failed_looks == 0 { worker.ends_stored } else { 0 },
+            lease_until_ms,
+            wait_ms: pier_core::clock::millis(wait),
+        };
+        let target = Target {
+            worker: ids::WorkerId::clone(&worker.entry.id),
+            address: sync::Arc::clone(&worker.entry.address),
+            token: self.token,
+        };
+        context.effects.push(Effect::call(target, ask, options));
+    }
+
     /// Takes the answer to a look.
     pub fn on_look_answered(
         &mut self,
@@ -78,6 +113,7 @@
         sent_at: time::Duration,
         answer: LookAnswer,
     ) {
+        self.touch(id);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -90,6 +126,9 @@
             }
             LookAnswer::NoAnswer => {
                 worker.failed_looks = worker.failed_looks.saturating_add(1);
+                if worker.carrier.take().is_some() {
+                    worker.carrier_turn = worker.carrier_turn.wrapping_add(1);
+                }
                 let pauses = worker.failed_looks.min(MOST_PAUSES);
                 worker.look_due_at =
                     context.now.saturating_add(context.options.look_retry * pauses);
@@ -202,12 +241,8 @@
         };
         tracing::warn!(job = %listed.task.job, step = listed.task.step, task = listed.task.index,
             run = listed.number, worker = %id, "stopping a run that is not in the ledger");
-        context.effects.push(Effect::Stop {
-            target: self.target(worker),
-            task: listed.task.clone(),
-            number: listed.number,
-            timeout: context.options.order_timeout,
-        });
+        let ask = WorkerAsk::Stop { task: listed.task.clone(), number: listed.number };
+        context.effects.push(Effect::call(self.target(worker), ask, context.options));
     }
 
     fn check_missing_runs(
@@ -234,6 +269,10 @@
                     lost.push(task.clone());
                 }
                 Some(RunPhase::Unknown { is_fenced: true, .. }) => lost.push(task.clone()),
+                // Nothing was heard of the start, not even that no answer came.
+                Some(RunPhase::Sent) if self.is_start_overdue(context, task) => {
+                    late.push(task.clone());
+                }
                 Some(RunPhase::Unknown { since, is_fenced: false }) if sent_at > since => {
                     late.push(task.clone());
                 }
@@ -249,8 +288,23 @@
         }
     }
 
+    /// Notes that a look at the worker may be due.
+    pub(super) fn touch(&mut self, id: &ids::WorkerId) {
+        self.touched.insert(ids::WorkerId::clone(id));
+    }
+
+    fn is_start_overdue(&self, context: &Context<'_>, task: &TaskRef) -> bool {
+        let options = context.options;
+        let overdue = options.order_age + options.order_timeout + REPLY_PATIENCE;
+        self.runs.get(task).is_some_and(|run| context.now > run.decided_at + overdue)
+    }
+
     /// Gives up the runs of workers whose leases have certainly ended.
     pub(super) fn settle_leases(&mut self, context: &mut Context<'_>) {
+        if context.now < self.leases_checked_at.saturating_add(LEASE_CHECK_PAUSE) {
+            return;
+        }
+        self.leases_checked_at = context.now;
         let mut lapsed: Vec<TaskRef> = Vec::new();
         for worker in self.workers.values() {
             let is_silent = worker.failed_looks > 0 || worker.entry.address.is_empty();
--- a/crates/cell/src/decider/mod.rs
+++ b/crates/cell/src/decider/mod.rs
@@ -21,7 +21,7 @@
 use crate::options::Options;
 use crate::order::ShareUse;
 use crate::pace::Paces;
-use crate::peer::{Message, Verdict};
+use crate::peer::{Message, PeerInfo, Verdict};
 use crate::progress::Phase;
 use crate::record::Claim;
 use crate::run::Run;
@@ -29,6 +29,7 @@
 
 mod append;
 mod ask;
+mod carry;
 mod intake;
 mod looks;
 mod orders;
@@ -70,6 +71,7 @@
     job: ids::JobId,
     step: StepIndex,
     host: Option<ids::HostId>,
+    workers: Vec<ids::WorkerId>,
     gives_up_at: time::Duration,
 }
 
@@ -101,11 +103,14 @@
     workers: BTreeMap<ids::WorkerId, Worker>,
     has_worker_list: bool,
     runs: BTreeMap<TaskRef, Run>,
+    /// Workers at which a look may be due.
+    touched: BTreeSet<ids::WorkerId>,
+    /// When a look at some other worker may be due.
+    look_timer_at: time::Duration,
+    leases_checked_at: time::Duration,
     /// Runs whose stop is not acknowledged.
     stopping: BTreeSet<TaskRef>,
     account_used: Map<AccountId, Resources>,
-    /// The hosts that the jobs came from, where it is not this one.
-    job_hosts: BTreeMap<ids::JobId, ids::HostId>,
     share_use: Map<AccountId, ShareUse>,
     /// Jobs that their accounts submitted beyond their shares.
     beyond_share: BTreeSet<ids::JobId>,
@@ -114,10 +119,13 @@
     /// The hosts that are asking; none is this host.
     asking: BTreeSet<Option<ids::HostId>>,
     paces: Paces,
+    /// The workers in descending order of free room, and when they were sorted.
+    by_free: Vec<ids::WorkerId>,
+    sorted_at: time::Duration,
     /// Since when each waiting step waits, as far as this decider has seen.
     waiting_since: BTreeMap<(ids::JobId, StepIndex), time::Duration>,
-    /// The connected hosts, which can ask the adviser.
-    peers: BTreeSet<ids::HostId>,
+    /// The connected hosts, which can ask the adviser and call workers.
+    peers: BTreeMap<ids::HostId, PeerInfo>,
     /// Workers that are kept for a gang, with the priority of its queue.
     kept: Map<ids::WorkerId, (ids::JobId, StepIndex, u32)>,
     local_verdicts: Vec<(ids::Ticket, Verdict)>,
@@ -150,6 +158,10 @@
 
     /// When something is due.
     pub fn due_at(&self, options: &Options) -> time::Duration {
+        self.look_timer_at.min(self.append_due_at(options))
+    }
+
+    fn append_due_at(&self, options: &Options) -> time::Duration {
         match &self.in_flight {
             Some(append) => append.retry_at.unwrap_or(time::Duration::MAX),
             None if self.has_changes() || self.has_news => {
@@ -245,6 +257,7 @@
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.used = worker.used.plus(&run.need);
             worker.runs.insert(task.clone());
+            self.touched.insert(ids::WorkerId::clone(&run.worker));
         }
         self.runs.insert(task, run);
     }
--- a/crates/cell/src/decider/orders.rs
+++ b/crates/cell/src/decider/orders.rs
@@ -7,7 +7,7 @@
 
 use crate::decider::{Context, Decider};
 use crate::directory::Queue;
-use crate::effect::{Effect, StartOrder};
+use crate::effect::{Effect, StartOrder, WorkerAsk};
 use crate::event::{ListedEnd, RejectReason, StartAnswer};
 use crate::job::{JobState, RunNumber, StepIndex, TaskRef};
 use crate::progress::Phase;
@@ -96,11 +96,8 @@
         tracing::info!(job = %task.job, step = task.step, task = task.index, run = run.number,
             worker = %run.worker, token = self.token, version = context.directory.version,
             waited_ms = context.wall_ms.saturating_sub(job.accepted_wall_ms), "start ordered");
-        context.effects.push(Effect::Start {
-            target: self.target(&self.workers[&run.worker]),
-            order: Box::new(order),
-            timeout: context.options.order_timeout,
-        });
+        let target = self.target(&self.workers[&run.worker]);
+        context.effects.push(Effect::call(target, WorkerAsk::Start(order), context.options));
         if let Some(run) = self.runs.get_mut(task) {
             run.phase = RunPhase::Sent;
         }
@@ -166,6 +163,7 @@
                     // A look tells what runs there now.
                     worker.is_contacted = false;
                     worker.look_due_at = context.now;
+                    self.touched.insert(ids::WorkerId::clone(&worker.entry.id));
                 }
             }
             RejectReason::Refused => {
@@ -216,12 +214,8 @@
             };
             tracing::info!(job = %task.job, step = task.step, task = task.index, run = number,
                 worker = %worker.entry.id, "stop ordered");
-            context.effects.push(Effect::Stop {
-                target: self.target(worker),
-                task: task.clone(),
-                number,
-                timeout: context.options.order_timeout,
-            });
+            let ask = WorkerAsk::Stop { task: task.clone(), number };
+            context.effects.push(Effect::call(self.target(worker), ask, context.options));
             if let Some(run) = self.runs.get_mut(&task) {
                 run.phase = RunPhase::Stopping { sent_at: Some(context.now) };
             }
--- a/crates/cell/src/decider/rooms.rs
+++ b/crates/cell/src/decider/rooms.rs
@@ -46,7 +46,7 @@
     }
 
     /// What the worker offers the step; none when it may not run the step's tasks.
-    fn room(
+    pub(super) fn room(
         &self,
         context: &Context<'_>,
         candidate: &Candidate,
--- a/crates/cell/src/decider/takeover.rs
+++ b/crates/cell/src/decider/takeover.rs
@@ -13,6 +13,7 @@
 use crate::follow::Learned;
 use crate::job::TaskRef;
 use crate::pace::Paces;
+use crate::peer::PeerInfo;
 use crate::progress::Phase;
 use crate::run::{Run, RunPhase};
 use crate::worker::{Entry, Life, Worker};
@@ -51,17 +52,21 @@
             workers: BTreeMap::new(),
             has_worker_list: false,
             runs: BTreeMap::new(),
+            touched: BTreeSet::new(),
+            look_timer_at: time::Duration::ZERO,
+            leases_checked_at: time::Duration::ZERO,
             stopping: BTreeSet::new(),
             account_used: Map::default(),
-            job_hosts: BTreeMap::new(),
             share_use: Map::default(),
             beyond_share: BTreeSet::new(),
             advice: BTreeMap::new(),
             asked: BTreeMap::new(),
             asking: BTreeSet::new(),
             paces: Paces::default(),
+            by_free: Vec::new(),
+            sorted_at: time::Duration::ZERO,
             waiting_since: BTreeMap::new(),
-            peers: BTreeSet::new(),
+            peers: BTreeMap::new(),
             kept: Map::default(),
             local_verdicts: Vec::new(),
             release: None,
@@ -167,6 +172,7 @@
             return;
         };
         let leases_end_at = Self::inherited_lease_end(context);
+        self.touch(&record.id);
         let Some(worker) = self.workers.get_mut(&record.id) else {
             tracing::info!(worker = %record.id, zone = %entry.zone, life = entry.life, "worker listed");
             self.workers.insert(record.id, Worker::new(entry, true, leases_end_at));
@@ -213,14 +219,17 @@
         }
     }
 
-    /// Counts the host among those that ask the adviser.
-    pub fn on_peer(&mut self, host: &ids::HostId) {
-        self.peers.insert(ids::HostId::clone(host));
+    /// Counts the host among those that ask the adviser and call workers.
+    pub fn on_peer(&mut self, context: &mut Context<'_>, info: &PeerInfo) {
+        // What was under way on an earlier connection is lost.
+        self.on_peer_gone(context, &info.host);
+        self.peers.insert(ids::HostId::clone(&info.host), info.clone());
     }
 
-    /// The host's connection is gone: its questions are asked again by others.
+    /// The host's connection is gone: its questions and calls go to others.
     pub fn on_peer_gone(&mut self, context: &mut Context<'_>, host: &ids::HostId) {
         self.peers.remove(host);
+        self.drop_carrier(context, host);
         let mut lost = Vec::new();
         for (ticket, asked) in &self.asked {
             if asked.host.as_ref() == Some(host) {
--- a/crates/cell/src/effect.rs
+++ b/crates/cell/src/effect.rs
@@ -4,14 +4,16 @@
 use std::time;
 
 use pier_core::ids;
+use serde::{Deserialize, Serialize};
 
 use crate::follow::{Read, Topic};
 use crate::job::{JobState, RunNumber, TaskRef};
+use crate::options::Options;
 use crate::peer::{Message, Question};
 use crate::record::Record;
 
 /// The worker that a call goes to.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
     /// Its id.
     pub worker: ids::WorkerId,
@@ -22,7 +24,7 @@
 }
 
 /// An order to start a run.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StartOrder {
     /// The task.
     pub task: TaskRef,
@@ -38,6 +40,42 @@
     pub ticket: Option<String>,
 }
 
+/// A call of a worker. The decider makes it itself or has another host make it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerCall {
+    /// The worker.
+    pub target: Target,
+    /// How long the answer may take, beyond the time that the worker may wait.
+    pub timeout_ms: u64,
+    /// What is asked.
+    pub ask: WorkerAsk,
+}
+
+/// What a worker is asked.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WorkerAsk {
+    /// To start a run.
+    Start(StartOrder),
+    /// To stop a run.
+    Stop {
+        /// The task.
+        task: TaskRef,
+        /// The start's number.
+        number: RunNumber,
+    },
+    /// To extend its leases and to tell what runs and what has ended.
+    Look {
+        /// When the look was decided; the answer repeats it.
+        sent_at: time::Duration,
+        /// Ends up to this number are in the log.
+        ends_stored: u64,
+        /// The lease's end on the worker's clock; none extends nothing.
+        lease_until_ms: Option<u64>,
+        /// How long the worker may wait for an end.
+        wait_ms: u64,
+    },
+}
+
 /// The answer to a caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Answer {
@@ -91,41 +129,8 @@
         /// How long the answer may take.
         timeout: time::Duration,
     },
-    /// Start a run.
-    Start {
-        /// The worker.
-        target: Target,
-        /// The order.
-        order: Box<StartOrder>,
-        /// How long the answer may take.
-        timeout: time::Duration,
-    },
-    /// Stop a run.
-    Stop {
-        /// The worker.
-        target: Target,
-        /// The task.
-        task: TaskRef,
-        /// The start's number.
-        number: RunNumber,
-        /// How long the answer may take.
-        timeout: time::Duration,
-    },
-    /// Look at a worker and extend its leases.
-    Look {
-        /// The worker.
-        target: Target,
-        /// When the look was decided; the answer repeats it.
-        sent_at: time::Duration,
-        /// Ends up to this number are in the log.
-        ends_stored: u64,
-        /// The lease's end on the worker's clock; none extends nothing.
-        lease_until_ms: Option<u64>,
-        /// How long the worker may wait for an end.
-        wait: time::Duration,
-        /// How long the answer may take beyond that.
-        timeout: time::Duration,
-    },
+    /// Call a worker.
+    Call(Box<WorkerCall>),
     /// Ask the adviser.
     Advise(Question),
     /// Keep a connection to the decider at this address, and no other; none keeps no connection.
@@ -150,3 +155,11 @@
     /// Tell the load balancer whether the host takes connections.
     Ready(bool),
 }
+
+impl Effect {
+    /// A call of a worker.
+    pub fn call(target: Target, ask: WorkerAsk, options: &Options) -> Self {
+        let timeout_ms = pier_core::clock::millis(options.order_timeout);
+        Self::Call(Box::new(WorkerCall { target, timeout_ms, ask }))
+    }
+}
--- a/crates/cell/src/event.rs
+++ b/crates/cell/src/event.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use pier_core::ids;
+use serde::{Deserialize, Serialize};
 
 use crate::directory::Directory;
 use crate::follow::{Page, ReadError, Stretch};
@@ -100,7 +101,7 @@
 }
 
 /// The answer of a worker to a start.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartAnswer {
     /// The run is there.
     Started {
@@ -117,7 +118,7 @@
 }
 
 /// Why a worker rejected an order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, Serialize, Deserialize)]
 pub enum RejectReason {
     /// It has heard from a later decider.
     #[display("fenced")]
@@ -143,7 +144,7 @@
 }
 
 /// A run that a worker lists.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListedRun {
     /// The task; none when its name is not one of ours.
     pub task: TaskRef,
@@ -156,7 +157,7 @@
 }
 
 /// An end that a worker lists.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListedEnd {
     /// The end's number in the worker's incarnation.
     pub sequence: u64,
@@ -171,7 +172,7 @@
 }
 
 /// The answer of a worker to a look.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LookAnswer {
     /// What it runs and what has ended.
     Report {
@@ -190,6 +191,47 @@
     NoAnswer,
 }
 
+/// The answer to a call of a worker.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerReply {
+    /// The worker.
+    pub worker: ids::WorkerId,
+    /// The fencing token that the call carried.
+    pub token: u64,
+    /// The answer.
+    pub answer: WorkerAnswer,
+}
+
+/// What a worker answered.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WorkerAnswer {
+    /// To a start.
+    Start {
+        /// The task.
+        task: TaskRef,
+        /// The start's number.
+        number: RunNumber,
+        /// The answer.
+        answer: StartAnswer,
+    },
+    /// To a stop.
+    Stop {
+        /// The task.
+        task: TaskRef,
+        /// The start's number.
+        number: RunNumber,
+        /// Whether the worker acknowledged it.
+        is_acknowledged: bool,
+    },
+    /// To a look.
+    Look {
+        /// When the look was decided.
+        sent_at: time::Duration,
+        /// The answer.
+        answer: LookAnswer,
+    },
+}
+
 /// Something that happens to a host.
 #[derive(Debug)]
 pub enum Event {
@@ -215,37 +257,8 @@
         /// The request.
         call: Box<Call>,
     },
-    /// A worker answered a start.
-    StartAnswered {
-        /// The worker.
-        worker: ids::WorkerId,
-        /// The task.
-        task: TaskRef,
-        /// The start's number.
-        number: RunNumber,
-        /// The answer.
-        answer: StartAnswer,
-    },
-    /// A worker answered a stop.
-    StopAnswered {
-        /// The worker.
-        worker: ids::WorkerId,
-        /// The task.
-        task: TaskRef,
-        /// The start's number.
-        number: RunNumber,
-        /// Whether the worker acknowledged it.
-        is_acknowledged: bool,
-    },
-    /// A worker answered a look.
-    LookAnswered {
-        /// The worker.
-        worker: ids::WorkerId,
-        /// When the look was sent.
-        sent_at: time::Duration,
-        /// The answer.
-        answer: LookAnswer,
-    },
+    /// A worker answered a call of this host, or did not.
+    Replied(Box<WorkerReply>),
     /// The adviser answered this host, or did not.
     Advised {
         /// The question.
--- a/crates/cell/src/follow.rs
+++ b/crates/cell/src/follow.rs
@@ -116,6 +116,18 @@
         }
     }
 
+    /// Sets the pause between reads.
+    pub fn set_gap(&mut self, gap: time::Duration) {
+        self.gap = gap;
+    }
+
+    /// Reads again at once, if no call is under way.
+    pub fn hasten(&mut self, now: time::Duration) {
+        if !self.is_failing {
+            self.next_at = self.next_at.min(now);
+        }
+    }
+
     /// Whether the last call failed.
     pub fn is_failing(&self) -> bool {
         self.is_failing
--- a/crates/cell/src/host/claim.rs
+++ b/crates/cell/src/host/claim.rs
@@ -18,6 +18,8 @@
 
 /// Over how many steps of the stagger the hosts spread.
 const CLAIM_RANKS: u64 = 8;
+/// Hosts of so many of these steps read the log often.
+const FIRST_RANKS: u32 = 4;
 /// How long the decider's word that it does not reach the log counts. It repeats it.
 const LOG_LOST_VALIDITY: time::Duration = time::Duration::from_millis(900);
 /// How fresh the view of the log must be for a claim: older reads say little about its end.
@@ -72,6 +74,17 @@
         stagger.saturating_add(self.options.claim_handicap)
     }
 
+    /// How often this host reads the log: those that would claim first must know of its silence.
+    pub(super) fn follow_gap(&self, now: time::Duration) -> time::Duration {
+        let is_first = self.claim_delay(self.decider_token().unwrap_or_default())
+            < self.options.claim_stagger * FIRST_RANKS;
+        if is_first || !self.has_decider() || self.has_decider_lost_log(now) {
+            self.options.follow_gap
+        } else {
+            self.options.slow_follow_gap
+        }
+    }
+
     /// Claims the decider's place when the log has been silent for long enough.
     pub(super) fn claim_if_due(&mut self, now: time::Duration, out: &mut Vec<Effect>) {
         if !matches!(self.role, Role::Following) || self.is_stopping {
@@ -193,8 +206,8 @@
         };
         let mut decider = Decider::new(&mut context, self.me.incarnation, token, end);
         // Hosts may have connected before the claim, to an earlier process of this host.
-        for host in &self.peers {
-            decider.on_peer(host);
+        for info in self.peers.values() {
+            decider.on_peer(&mut context, info);
         }
         self.last_token = token;
         self.log_lost_at = None;
@@ -211,7 +224,7 @@
         out: &mut Vec<Effect>,
     ) {
         tracing::warn!(reason, "stepping down");
-        for host in &self.peers {
+        for host in self.peers.keys() {
             let message = Message::NotDeciding { token: self.last_token };
             out.push(Effect::Send { to: ids::HostId::clone(host), message });
         }
@@ -253,6 +266,7 @@
     ) {
         if self.connected_to.as_ref() == Some(host) {
             tracing::warn!(decider = %host, "connection to the decider lost");
+            self.cell.hasten(now);
             self.connected_to = None;
             self.disconnected_at = now;
             self.calls.repeat_all();
--- a/crates/cell/src/host/mod.rs
+++ b/crates/cell/src/host/mod.rs
@@ -15,7 +15,7 @@
 use crate::job::JobState;
 use crate::ledger::Ledger;
 use crate::options::Options;
-use crate::peer::Message;
+use crate::peer::{Message, PeerInfo};
 use crate::record::{Batch, Claim, Record};
 
 mod calls;
@@ -85,7 +85,7 @@
     /// When the log last had a record of a living decider.
     heard_at: time::Duration,
     /// The hosts with a connection to this one.
-    peers: BTreeSet<ids::HostId>,
+    peers: BTreeMap<ids::HostId, PeerInfo>,
     connected_to: Option<ids::HostId>,
     wanted_connection: Option<(ids::HostId, sync::Arc<str>)>,
     disconnected_at: time::Duration,
@@ -119,7 +119,7 @@
             calls: Calls::default(),
             next_ticket: 0,
             heard_at: time::Duration::ZERO,
-            peers: BTreeSet::new(),
+            peers: BTreeMap::new(),
             connected_to: None,
             wanted_connection: None,
             disconnected_at: time::Duration::ZERO,
@@ -192,6 +192,12 @@
             Event::Appended { ticket, answer } if !self.is_decider() => {
                 self.on_claim_answered(now, wall_ms, ticket, answer, out);
             }
+            Event::Replied(reply) if !self.is_decider() => {
+                // The decider had this host call the worker.
+                if let Some(to) = self.connected_to.clone() {
+                    out.push(Effect::Send { to, message: Message::Reply(reply) });
+                }
+            }
             Event::Advised { ticket, answer } if !self.is_decider() => {
                 // The decider had this host ask.
                 if let Some(to) = self.connected_to.clone() {
@@ -200,15 +206,7 @@
             }
             event => self.with_decider(now, wall_ms, out, |decider, context| match event {
                 Event::Appended { ticket, answer } => decider.on_appended(context, ticket, answer),
-                Event::StartAnswered { task, number, answer, .. } => {
-                    decider.on_start_answered(context, &task, number, answer);
-                }
-                Event::StopAnswered { task, number, is_acknowledged, .. } => {
-                    decider.on_stop_answered(context, &task, number, is_acknowledged);
-                }
-                Event::LookAnswered { worker, sent_at, answer } => {
-                    decider.on_look_answered(context, &worker, sent_at, answer);
-                }
+                Event::Replied(reply) => decider.on_reply(context, *reply),
                 Event::Advised { ticket, answer } => {
                     decider.on_advice(context, ticket, answer.as_ref());
                 }
@@ -238,6 +236,7 @@
             effects,
         };
         act(decider, &mut context);
+        decider.route_calls(&mut context);
         let token = decider.token();
         let verdicts = decider.take_local_verdicts();
         let deposed = decider.deposed();
@@ -262,8 +261,11 @@
             if let Some(read) = self.workers.poll(now, &self.options) {
                 out.push(Effect::Read { topic: Topic::Workers, read, timeout });
             }
-        } else if let Some(read) = self.cell.poll(now, &self.options) {
-            out.push(Effect::Read { topic: Topic::Cell, read, timeout });
+        } else {
+            self.cell.set_gap(self.follow_gap(now));
+            if let Some(read) = self.cell.poll(now, &self.options) {
+                out.push(Effect::Read { topic: Topic::Cell, read, timeout });
+            }
         }
         self.connect(now, out);
         self.pass_calls(now, wall_ms, out);
@@ -377,23 +379,42 @@
             Message::LogLost { token } => {
                 if self.decider_token() == Some(token) {
                     self.log_lost_at = Some(now);
+                    self.cell.hasten(now);
                 }
             }
-            Message::Hello { host } => {
-                if self.wanted_connection.as_ref().is_some_and(|(decider, _)| *decider == host) {
+            Message::Hello(info) => {
+                let host = &info.host;
+                if self.wanted_connection.as_ref().is_some_and(|(decider, _)| decider == host) {
                     tracing::info!(decider = %host, "connected to the decider");
-                    self.connected_to = Some(ids::HostId::clone(&host));
+                    self.connected_to = Some(ids::HostId::clone(host));
                 }
-                self.peers.insert(ids::HostId::clone(&host));
-                self.with_decider(now, wall_ms, out, |decider, _| decider.on_peer(&host));
+                self.with_decider(now, wall_ms, out, |decider, context| {
+                    decider.on_peer(context, &info);
+                });
+                self.peers.insert(ids::HostId::clone(&info.host), info);
             }
             Message::Verdict { ticket, token, verdict } => {
                 if let Some(answer) = self.calls.on_verdict(now, ticket, token, verdict) {
                     out.push(Effect::Answer { ticket, answer });
                 }
             }
-            Message::Ended { job, state } => {
-                self.told.insert(job, (state, now));
+            Message::Ended { states } => {
+                for (job, state) in states {
+                    self.told.insert(job, (state, now));
+                }
+            }
+            Message::Call(call) => {
+                if self.is_decider() {
+                    tracing::info!(from = %from, token = call.target.token,
+                        "call of an earlier decider left out");
+                } else {
+                    out.push(Effect::Call(call));
+                }
+            }
+            Message::Reply(reply) => {
+                self.with_decider(now, wall_ms, out, |decider, context| {
+                    decider.on_reply(context, *reply);
+                });
             }
             Message::AskAdviser { question } => out.push(Effect::Advise(question)),
             Message::NotDeciding { token } => {
--- a/crates/cell/src/options.rs
+++ b/crates/cell/src/options.rs
@@ -14,9 +14,12 @@
     pub revocation_bound: time::Duration,
     /// How long ended jobs are remembered.
     pub remember_ended: time::Duration,
-    /// The pause between a follower's reads of the cell's log. It bounds how stale the states that
-    /// the host tells are, and how often it calls the log.
+    /// The pause between a follower's reads of the cell's log if it is among the first to claim the
+    /// decider's place, or has no decider.
     pub follow_gap: time::Duration,
+    /// The same for the other followers. It bounds how stale the numbers of waiting jobs are that
+    /// they tell, and how often they call the log; the decider tells them of jobs that have ended.
+    pub slow_follow_gap: time::Duration,
     /// The pause between reads of the workers' list, which changes with every worker's report.
     pub list_gap: time::Duration,
     /// How long a read waits for a record.
@@ -63,6 +66,9 @@
     pub retry_after: time::Duration,
     /// The most jobs that may wait; further ones are rejected.
     pub most_waiting: usize,
+    /// The most workers that the decider calls itself. In a larger cell the other hosts make its
+    /// calls.
+    pub most_own_workers: usize,
     /// How many times as long tasks take away from their data or, for gangs, on several racks.
     pub remote_factor: f64,
 }
@@ -76,6 +82,7 @@
             revocation_bound: millis(5_000),
             remember_ended: millis(120_000),
             follow_gap: millis(150),
+            slow_follow_gap: millis(700),
             list_gap: millis(200),
             read_wait: millis(1_000),
             log_timeout: millis(1_500),
@@ -97,6 +104,7 @@
             answer_margin: millis(200),
             retry_after: millis(1_000),
             most_waiting: 2_000,
+            most_own_workers: 100,
             remote_factor: 3.0,
         }
     }
--- a/crates/cell/src/peer.rs
+++ b/crates/cell/src/peer.rs
@@ -5,16 +5,26 @@
 use pier_core::ids;
 use serde::{Deserialize, Serialize};
 
+use crate::effect::WorkerCall;
+use crate::event::WorkerReply;
 use crate::job::{JobSpec, JobState, StepIndex};
 
+/// What a host says of itself when it connects.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerInfo {
+    /// The host.
+    pub host: ids::HostId,
+    /// Its availability zone.
+    pub zone: ids::ZoneId,
+    /// The part of a processor core that it may use, in thousandths.
+    pub core_permille: u32,
+}
+
 /// A message between two hosts. Each may be lost with its connection.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
     /// The first message of a connection: who connects.
-    Hello {
-        /// The host.
-        host: ids::HostId,
-    },
+    Hello(PeerInfo),
     /// The connection is alive.
     Alive,
     /// The decider does not reach the log.
@@ -50,13 +60,15 @@
         /// What became of it.
         verdict: Verdict,
     },
-    /// A job that the host has passed on has a final state, which is stored.
+    /// Jobs have final states, which are stored.
     Ended {
-        /// The job.
-        job: ids::JobId,
-        /// Its state.
-        state: JobState,
+        /// The jobs and their states.
+        states: Vec<(ids::JobId, JobState)>,
     },
+    /// The host is to call a worker.
+    Call(Box<WorkerCall>),
+    /// What the worker answered.
+    Reply(Box<WorkerReply>),
     /// The host is to ask the adviser.
     AskAdviser {
         /// The question.
--- a/crates/cell/src/run.rs
+++ b/crates/cell/src/run.rs
@@ -4,6 +4,7 @@
 
 use pier_core::ids;
 use pier_core::resources::Resources;
+use serde::{Deserialize, Serialize};
 
 use crate::job::{AccountId, RunNumber};
 use crate::worker::Life;
@@ -66,7 +67,7 @@
 }
 
 /// How a run ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, Serialize, Deserialize)]
 pub enum EndKind {
     /// The task is done.
     #[display("done")]
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -72,6 +72,10 @@
     pub ends_read: u64,
     /// Looks that failed since the last answer.
     pub failed_looks: u32,
+    /// The host that makes the calls; none while it is not chosen or where the decider makes them.
+    pub carrier: Option<ids::HostId>,
+    /// How often another host has been chosen because calls had failed.
+    pub carrier_turn: u32,
     /// By when all that this decider knows of has lost its lease, if nothing more is sent.
     pub leases_end_at: time::Duration,
     clock: Option<(time::Duration, u64)>,
@@ -95,6 +99,8 @@
             ends_stored: 0,
             ends_read: 0,
             failed_looks: 0,
+            carrier: None,
+            carrier_turn: 0,
             leases_end_at,
             clock: None,
             recent_failures: 0,
--- a/crates/cell/tests/cell_faults.rs
+++ b/crates/cell/tests/cell_faults.rs
@@ -5,10 +5,14 @@
 use std::collections::BTreeSet;
 
 use pier_cell::job::JobState;
+use pier_cell::options::Options;
 use rand::Rng;
 
 use sim::{Sim, step};
 
+/// The faults of hosts, store and workers, and those between hosts that make calls for the decider.
+const KINDS_OF_FAULTS: u32 = 10;
+const KINDS_BETWEEN_HOSTS: u32 = 2;
 /// Jobs that are handed in a second.
 const JOBS_PER_S: u64 = 12;
 
@@ -156,18 +160,25 @@
     check(&sim);
 }
 
-/// Guards against an answer that is ready and not delivered: the host that a job came from tells of
-/// its end as soon as it is stored, without waiting for its next read of the log.
+/// Guards against an answer that is ready and not delivered: every host tells of a job's end as soon
+/// as it is stored, without waiting for its next read of the log. Callers ask any host.
 #[test]
-fn the_host_of_a_job_tells_of_its_end_at_once() {
+fn every_host_tells_of_an_end_at_once() {
+    for offset in 0..3 {
+        end_is_told(offset);
+    }
+}
+
+fn end_is_told(offset: usize) {
     let mut sim = Sim::new(6, 3, 8);
     sim.run_for(2_000);
-    let host = (sim.decider().expect("a decider") + 1) % 3;
-    sim.submit(host, "00000000000000aa", "urgent", vec![step(1, 1)]);
+    let decider = sim.decider().expect("a decider");
+    let host = (decider + offset) % 3;
+    sim.submit((decider + 1) % 3, "00000000000000aa", "urgent", vec![step(1, 1)]);
     while sim.stored_state("00000000000000aa") != Some(JobState::Completed) {
         sim.run_for(1);
         // From now on a read of the log takes longer than the message.
-        if sim.stored_state("00000000000000aa").is_some() {
+        if host != decider && sim.stored_state("00000000000000aa").is_some() {
             sim.hosts[host].is_cut_from_store = true;
         }
     }
@@ -295,6 +306,17 @@
     if std::env::var("PIER_CELL_TRACE").is_ok() {
         tracing_subscriber::fmt().without_time().with_ansi(false).with_target(false).init();
     }
+    play_seeds(|seed| random_faults(Sim::new(seed, 4, 8), KINDS_OF_FAULTS));
+}
+
+/// Guards against work that is lost or doubled where other hosts make the decider's calls: they
+/// die, freeze, lose their connections and are cut off from single workers meanwhile.
+#[test]
+fn promises_hold_under_random_faults_where_other_hosts_make_the_calls() {
+    play_seeds(|seed| random_faults(carrying(seed), KINDS_OF_FAULTS + KINDS_BETWEEN_HOSTS));
+}
+
+fn play_seeds(play: impl Fn(u64) + std::panic::RefUnwindSafe) {
     let seeds = match std::env::var("PIER_CELL_SEEDS") {
         Ok(range) => {
             let (first, end) = range.split_once("..").expect("FIRST..END");
@@ -304,7 +326,7 @@
     };
     let mut failed = Vec::new();
     for seed in seeds {
-        let result = std::panic::catch_unwind(|| random_faults(seed));
+        let result = std::panic::catch_unwind(|| play(seed));
         if result.is_err() {
             failed.push(seed);
         }
@@ -312,13 +334,67 @@
     assert_eq!(failed, Vec::<u64>::new(), "seeds that failed");
 }
 
-fn random_faults(seed: u64) {
-    let mut sim = Sim::new(seed, 4, 8);
+/// A cell whose decider calls no worker itself.
+fn carrying(seed: u64) -> Sim {
+    let options = Options { most_own_workers: 0, ..Options::default() };
+    Sim::with_options(seed, 4, 8, options)
+}
+
+/// Guards against a decider that is busy with calls in a large cell, and against one that makes
+/// none while it has no other host.
+#[test]
+fn other_hosts_make_the_calls_of_a_large_cell() {
+    let mut sim = carrying(11);
+    sim.run_for(2_000);
+    let decider = sim.decider().expect("a decider");
+    sim.seen.calls_by_host.clear();
+    let mut count = 0;
+    load(&mut sim, 4, &mut count);
+    let carriers = sim.seen.calls_by_host.keys().filter(|host| **host != decider).count();
+    // At least one in each zone.
+    assert!(carriers >= 2, "{:?}", sim.seen.calls_by_host);
+    assert_eq!(sim.seen.calls_by_host.get(&decider), None);
+    for index in 0..sim.hosts.len() {
+        if index != decider {
+            sim.kill_host(index);
+        }
+    }
+    let before = sim.seen.starts;
+    sim.submit(decider, "alone", "urgent", vec![step(1, 1)]);
+    sim.run_for(3_000);
+    assert!(sim.seen.starts > before);
+    check(&sim);
+}
+
+/// Guards against tasks that wait for the calls of a host that has died or does not reach a worker.
+#[test]
+fn calls_of_a_lost_host_are_made_by_another() {
+    let mut sim = carrying(12);
+    sim.run_for(2_000);
+    let decider = sim.decider().expect("a decider");
+    let mut count = 0;
+    load(&mut sim, 2, &mut count);
+    let lost: Vec<usize> = (0..sim.hosts.len()).filter(|host| *host != decider).collect();
+    sim.kill_host(lost[0]);
+    for worker in 0..8 {
+        sim.cut_workers_of.insert((lost[1], format!("w{worker}")));
+    }
+    sim.run_for(1_500);
+    let started_at_ms = sim.now_ms;
+    sim.submit(decider, "after", "urgent", vec![step(8, 8)]);
+    sim.run_for(2_500);
+    assert_eq!(sim.stored_state("after"), Some(JobState::Completed), "from {started_at_ms} ms");
+    sim.start_host(lost[0]);
+    sim.run_for(10_000);
+    check(&sim);
+}
+
+fn random_faults(mut sim: Sim, kinds: u32) {
     sim.run_for(2_000);
     let mut count = 0;
     for _ in 0..6 {
         load(&mut sim, 1, &mut count);
-        inject(&mut sim);
+        inject(&mut sim, kinds);
         load(&mut sim, 1, &mut count);
     }
     calm(&mut sim);
@@ -326,13 +402,13 @@
     check(&sim);
 }
 
-fn inject(sim: &mut Sim) {
+fn inject(sim: &mut Sim, kinds: u32) {
     let host = match sim.rng.random_range(0..2) {
         0 => sim.decider().unwrap_or(0),
         _ => sim.rng.random_range(0..sim.hosts.len()),
     };
     let worker = format!("w{}", sim.rng.random_range(0..8));
-    match sim.rng.random_range(0..10) {
+    match sim.rng.random_range(0..kinds) {
         0 => {
             sim.kill_host(host);
             let pause = sim.rng.random_range(50..1_500);
@@ -360,6 +436,12 @@
                 sim.start_host(index);
             }
         }
+        10 => sim.break_connection(host),
+        11 => {
+            for index in 0..8 {
+                sim.cut_workers_of.insert((host, format!("w{index}")));
+            }
+        }
         _ => {}
     }
 }
@@ -369,6 +451,7 @@
     sim.lost_appends_percent = 0;
     sim.late_orders_percent = 0;
     sim.cut_workers.clear();
+    sim.cut_workers_of.clear();
     for index in 0..sim.hosts.len() {
         sim.hosts[index].is_cut_from_store = false;
     }
--- a/crates/cell/tests/decider.rs
+++ b/crates/cell/tests/decider.rs
@@ -6,7 +6,7 @@
 
 use pier_cell::decider::{Context, Decider, Origin};
 use pier_cell::directory::{Account, AdviceTerms, Directory, Queue};
-use pier_cell::effect::Effect;
+use pier_cell::effect::{Effect, Target, WorkerAsk};
 use pier_cell::event::{AppendAnswer, ListedEnd, ListedRun, LookAnswer, StartAnswer, WorkerRecord};
 use pier_cell::follow::Learned;
 use pier_cell::job::{JobSpec, JobState, Step, TaskRef};
@@ -95,10 +95,10 @@
         self.act(|decider, context| decider.on_workers(context, learned));
         let looks = self.advance(30);
         for effect in looks {
-            let Effect::Look { target, sent_at, .. } = effect else {
+            let Some((target, WorkerAsk::Look { sent_at, .. })) = called(&effect) else {
                 continue;
             };
-            self.report(&target.worker, sent_at, Vec::new(), Vec::new());
+            self.report(&target.worker, *sent_at, Vec::new(), Vec::new());
         }
         // The first append of the decider is under way.
         self.now += time::Duration::from_millis(400);
@@ -195,8 +195,17 @@
     vec![Step { tasks: count, need: cores(4), gang, estimate_ms: 100, ..Step::default() }]
 }
 
+/// The call of a worker that the effect is.
+fn called(effect: &Effect) -> Option<(&Target, &WorkerAsk)> {
+    match effect {
+        Effect::Call(call) => Some((&call.target, &call.ask)),
+        _ => None,
+    }
+}
+
 fn starts(effects: &[Effect]) -> usize {
-    effects.iter().filter(|effect| matches!(effect, Effect::Start { .. })).count()
+    let is_start = |effect: &&Effect| matches!(called(effect), Some((_, WorkerAsk::Start(_))));
+    effects.iter().filter(is_start).count()
 }
 
 /// Guards against a start that the log does not hold: after the decider's death nobody would know
@@ -227,7 +236,10 @@
     let mut stored = bench.store(&effects);
     let sent = starts(&stored);
     stored.extend(bench.advance(1));
-    let stops = stored.iter().filter(|effect| matches!(effect, Effect::Stop { .. })).count();
+    let stops = stored
+        .iter()
+        .filter(|effect| matches!(called(effect), Some((_, WorkerAsk::Stop { .. }))))
+        .count();
     assert_eq!(sent, stops, "each member that was started is stopped again");
     assert_eq!(sent, 0, "the decider knew of the drain before it sent the first start");
 }
@@ -243,8 +255,8 @@
     let sent = bench.store(&effects);
     let worker = sent
         .iter()
-        .find_map(|effect| match effect {
-            Effect::Start { target, .. } => Some(target.worker.clone()),
+        .find_map(|effect| match called(effect) {
+            Some((target, WorkerAsk::Start(_))) => Some(target.worker.clone()),
             _ => None,
         })
         .expect("a start");
@@ -256,11 +268,11 @@
         let effects = bench.advance(200);
         let mut stopped = false;
         for effect in &effects {
-            match effect {
-                Effect::Look { target, sent_at, .. } => {
+            match called(effect) {
+                Some((target, WorkerAsk::Look { sent_at, .. })) => {
                     bench.report(&target.worker, *sent_at, Vec::new(), Vec::new());
                 }
-                Effect::Stop { target, number, .. } => {
+                Some((target, WorkerAsk::Stop { number, .. })) => {
                     assert_eq!((&target.worker, *number), (&worker, 1));
                     stopped = true;
                 }
@@ -278,7 +290,7 @@
     for _ in 0..4 {
         let effects = bench.advance(200);
         for effect in &effects {
-            if let Effect::Look { target, sent_at, .. } = effect {
+            if let Some((target, WorkerAsk::Look { sent_at, .. })) = called(effect) {
                 bench.report(&target.worker, *sent_at, Vec::new(), Vec::new());
             }
         }
@@ -352,9 +364,10 @@
     bench.report("w0", now, Vec::new(), vec![end]);
     let effects = bench.advance(30);
     let is_acknowledged = |effects: &[Effect]| {
-        effects
-            .iter()
-            .any(|effect| matches!(effect, Effect::Look { ends_stored, .. } if *ends_stored > 0))
+        effects.iter().any(|effect| {
+            let call = called(effect);
+            matches!(call, Some((_, WorkerAsk::Look { ends_stored, .. })) if *ends_stored > 0)
+        })
     };
     assert!(!is_acknowledged(&effects), "the append is only under way");
     bench.store(&effects);
@@ -389,9 +402,7 @@
     bench.now += time::Duration::from_millis(950);
     let late = bench.store(&effects);
     assert_eq!(starts(&late), 1, "the ticket is still valid");
-    let Some(Effect::Start { target, order, .. }) =
-        late.iter().find(|effect| matches!(effect, Effect::Start { .. }))
-    else {
+    let Some((target, WorkerAsk::Start(order))) = late.iter().find_map(called) else {
         unreachable!("a start was counted");
     };
     assert_eq!((&*target.worker, order.ticket.as_deref()), ("w1", Some("ticket")));
@@ -489,8 +500,8 @@
     let look = bench.advance(30);
     let sent_at = look
         .iter()
-        .find_map(|effect| match effect {
-            Effect::Look { sent_at, .. } => Some(*sent_at),
+        .find_map(|effect| match called(effect) {
+            Some((_, WorkerAsk::Look { sent_at, .. })) => Some(*sent_at),
             _ => None,
         })
         .unwrap_or(bench.now);
@@ -501,12 +512,14 @@
     // The log answers nothing for four seconds.
     for _ in 0..40 {
         for effect in bench.advance(100) {
-            let Effect::Look { sent_at, ends_stored, lease_until_ms, .. } = effect else {
+            let Some((_, WorkerAsk::Look { sent_at, ends_stored, lease_until_ms, .. })) =
+                called(&effect)
+            else {
                 continue;
             };
-            assert_eq!(ends_stored, 0, "nothing may be acknowledged");
+            assert_eq!(*ends_stored, 0, "nothing may be acknowledged");
             extended += usize::from(lease_until_ms.is_some());
-            bench.report("w0", sent_at, Vec::new(), Vec::new());
+            bench.report("w0", *sent_at, Vec::new(), Vec::new());
         }
     }
     assert!(extended >= 3, "{extended} looks extended the leases in four seconds");
@@ -597,8 +610,8 @@
     let task = bench.submit(tasks(1, false));
     let effects = bench.advance(30);
     let sent = bench.store(&effects);
-    let target = sent.iter().find_map(|effect| match effect {
-        Effect::Start { target, .. } => Some(target.worker.clone()),
+    let target = sent.iter().find_map(|effect| match called(effect) {
+        Some((target, WorkerAsk::Start(_))) => Some(target.worker.clone()),
         _ => None,
     });
     let first = target.expect("a start");
@@ -609,8 +622,10 @@
     for _ in 0..12 {
         let effects = bench.advance(500);
         for effect in &effects {
-            match effect {
-                Effect::Look { target, sent_at, .. } if target.worker == first && !stopped => {
+            match called(effect) {
+                Some((target, WorkerAsk::Look { sent_at, .. }))
+                    if target.worker == first && !stopped =>
+                {
                     let listed = ListedRun {
                         task: task.clone(),
                         number: 1,
@@ -619,10 +634,10 @@
                     };
                     bench.report(&first, *sent_at, vec![listed], Vec::new());
                 }
-                Effect::Look { target, sent_at, .. } => {
+                Some((target, WorkerAsk::Look { sent_at, .. })) => {
                     bench.report(&target.worker, *sent_at, Vec::new(), Vec::new());
                 }
-                Effect::Stop { target, .. } => {
+                Some((target, WorkerAsk::Stop { .. })) => {
                     assert_eq!(target.worker, first);
                     stopped = true;
                     bench.act(|decider, context| {
@@ -633,8 +648,8 @@
             }
         }
         for effect in bench.store(&effects) {
-            if let Effect::Start { target, .. } = effect {
-                second = Some(target.worker);
+            if let Some((target, WorkerAsk::Start(_))) = called(&effect) {
+                second = Some(target.worker.clone());
             }
         }
     }
--- a/crates/cell/tests/sim/mod.rs
+++ b/crates/cell/tests/sim/mod.rs
@@ -10,16 +10,16 @@
 use std::time;
 
 use pier_cell::directory::{Account, Directory, Queue};
-use pier_cell::effect::{Answer, Effect, StartOrder, Target};
+use pier_cell::effect::{Answer, Effect, StartOrder, Target, WorkerAsk, WorkerCall};
 use pier_cell::event::{
     AppendAnswer, Ask, Call, Event, LookAnswer, OperatorRecord, ReadAnswer, StartAnswer,
-    WorkerRecord,
+    WorkerAnswer, WorkerRecord, WorkerReply,
 };
 use pier_cell::follow::{Read, ReadError, Topic};
 use pier_cell::host::{Host, Member};
 use pier_cell::job::{JobSpec, JobState, Step, TaskRef};
 use pier_cell::options::Options;
-use pier_cell::peer::{Advice, Message};
+use pier_cell::peer::{Advice, Message, PeerInfo};
 use pier_cell::run::EndKind;
 use pier_cell::worker::Entry;
 use pier_core::resources::Resources;
@@ -76,6 +76,7 @@
     pub start_times_ms: Vec<u64>,
     pub claims: u64,
     pub questions_by_host: BTreeMap<usize, u64>,
+    pub calls_by_host: BTreeMap<usize, u64>,
     last_start_ms: BTreeMap<TaskRef, u64>,
     done: BTreeSet<TaskRef>,
 }
@@ -88,6 +89,10 @@
     pub workers: BTreeMap<String, SimWorker>,
     /// Workers that no host reaches.
     pub cut_workers: BTreeSet<String>,
+    /// Hosts and workers that do not reach each other.
+    pub cut_workers_of: BTreeSet<(usize, String)>,
+    /// The times and limits of hosts that start.
+    pub options: Options,
     pub cell: store::Topic<Vec<u8>>,
     pub operators: store::Topic<OperatorRecord>,
     pub listed: store::Topic<Entry>,
@@ -103,6 +108,8 @@
     pub run_ms: u64,
     pub advice_ms: u64,
     pub seen: Seen,
+    /// The real time that each step of a deciding host took.
+    pub step_costs: Vec<time::Duration>,
     pub directory: Directory,
     specs: BTreeMap<String, sync::Arc<JobSpec>>,
     queue: BTreeMap<(u64, u64), Due>,
@@ -139,6 +146,10 @@
 
 impl Sim {
     pub fn new(seed: u64, hosts: usize, workers: usize) -> Self {
+        Self::with_options(seed, hosts, workers, Options::default())
+    }
+
+    pub fn with_options(seed: u64, hosts: usize, workers: usize, options: Options) -> Self {
         let unlimited = account("team", "key", Resources::MAX);
         let queues = vec![queue("urgent", 0, 3), queue("batch", 1, 3)];
         let directory = Directory::new(1, queues, vec![unlimited], 100_000);
@@ -148,6 +159,8 @@
             hosts: Vec::new(),
             workers: BTreeMap::new(),
             cut_workers: BTreeSet::new(),
+            cut_workers_of: BTreeSet::new(),
+            options,
             cell: store::Topic::new(),
             operators: store::Topic::new(),
             listed: store::Topic::new(),
@@ -159,6 +172,7 @@
             run_ms: 800,
             advice_ms: 10,
             seen: Seen::default(),
+            step_costs: Vec::new(),
             directory: directory.clone(),
             specs: BTreeMap::new(),
             queue: BTreeMap::new(),
@@ -238,7 +252,7 @@
             incarnation: self.next_process,
         };
         let host = &mut self.hosts[index];
-        host.process = Some(Host::new(me, Options::default()));
+        host.process = Some(Host::new(me, self.options.clone()));
         host.number = self.next_process;
         host.wake_at_ms = self.now_ms;
         host.connected_to = None;
@@ -258,6 +272,18 @@
         }
     }
 
+    /// Breaks the host's connection to the decider. It connects again.
+    pub fn break_connection(&mut self, index: usize) {
+        let Some(to) = self.hosts[index].connected_to else {
+            return;
+        };
+        self.disconnect(index);
+        let number = self.hosts[index].number;
+        let decider = Some((self.hosts[to].name.as_str().into(), to.to_string().into()));
+        let effect = Box::new(Effect::Connect { decider });
+        self.push(150, Due::Effect { host: index, number, effect });
+    }
+
     fn disconnect(&mut self, index: usize) {
         if let Some(other) = self.hosts[index].connected_to.take() {
             let gone = Event::PeerGone { host: self.hosts[other].name.as_str().into() };
@@ -410,7 +436,11 @@
             return;
         };
         let span = tracing::info_span!("host", host = %host.name, at_ms = self.now_ms);
+        let began = time::Instant::now();
         let effects = span.in_scope(|| process.apply(now, EPOCH_MS + self.now_ms, event));
+        if process.is_decider() {
+            self.step_costs.push(began.elapsed());
+        }
         let sleep = process.sleep(now).max(time::Duration::from_millis(1));
         host.wake_at_ms = self.now_ms + u64::try_from(sleep.as_millis()).unwrap_or(1).max(1);
         let number = host.number;
@@ -450,40 +480,66 @@
                     self.send_event(host, after, Event::Appended { ticket, answer });
                 }
             }
-            Effect::Start { target, order, timeout } => {
+            Effect::Call(call) => self.call_worker(host, *call),
+            Effect::Advise(question) => {
+                *self.seen.questions_by_host.entry(host).or_default() += 1;
+                let mut eligible = Vec::new();
+                for worker in &question.workers {
+                    // Two of three workers may run any step.
+                    if worker.as_bytes().last().is_some_and(|digit| digit % 3 != 0) {
+                        eligible.push((worker.clone(), "ticket".to_owned()));
+                    }
+                }
+                let answer = Some(Advice { eligible, valid_ms: 1_500 });
+                let after = self.advice_ms;
+                self.send_event(host, after, Event::Advised { ticket: question.ticket, answer });
+            }
+            Effect::Connect { decider } => self.connect(host, decider),
+            Effect::Send { to, message } => self.send(host, &to, message),
+            Effect::Answer { ticket, answer } => self.note_answer(ticket, &answer),
+            Effect::Ready(_) => {}
+        }
+    }
+
+    fn call_worker(&mut self, host: usize, call: WorkerCall) {
+        let WorkerCall { target, timeout_ms, ask } = call;
+        let (worker, token) = (target.worker.clone(), target.token);
+        if self.cut_workers_of.contains(&(host, worker.to_string())) {
+            let answer = unanswered(&ask);
+            let reply = Box::new(WorkerReply { worker, token, answer });
+            self.send_event(host, timeout_ms, Event::Replied(reply));
+            return;
+        }
+        let (after, answer) = match ask {
+            WorkerAsk::Start(order) => {
+                let (task, number) = (order.task.clone(), order.number);
                 let is_late = self.rng.random_range(0..100) < self.late_orders_percent;
                 if is_late {
-                    let (task, number) = (order.task.clone(), order.number);
                     let after = self.rng.random_range(2_000..8_000);
-                    let life = self.workers.get(&*target.worker).map_or(0, |worker| worker.life);
-                    self.push(after, Due::LateStart { life, target: target.clone(), order });
+                    let life = self.workers.get(&*worker).map_or(0, |worker| worker.life);
+                    let order = Box::new(order);
+                    self.push(after, Due::LateStart { life, target, order });
                     let answer = StartAnswer::NoAnswer;
-                    let event =
-                        Event::StartAnswered { worker: target.worker, task, number, answer };
-                    let after = u64::try_from(timeout.as_millis()).unwrap_or_default();
-                    self.send_event(host, after, event);
-                    return;
+                    (timeout_ms, WorkerAnswer::Start { task, number, answer })
+                } else {
+                    let answer = self.start(&worker, token, &order);
+                    let is_lost = answer == StartAnswer::NoAnswer;
+                    let after = if is_lost { timeout_ms } else { self.delay(NEAR_MS) };
+                    (after, WorkerAnswer::Start { task, number, answer })
                 }
-                let (task, number) = (order.task.clone(), order.number);
-                let answer = self.start(&target.worker, target.token, &order);
-                let after = if answer == StartAnswer::NoAnswer { 700 } else { self.delay(NEAR_MS) };
-                let event = Event::StartAnswered { worker: target.worker, task, number, answer };
-                self.send_event(host, after, event);
             }
-            Effect::Stop { target, task, number, .. } => {
-                let is_acknowledged = match self.reached(&target.worker) {
-                    Some(worker) => worker.stop(target.token, &task, number),
+            WorkerAsk::Stop { task, number } => {
+                let is_acknowledged = match self.reached(&worker) {
+                    Some(worker) => worker.stop(token, &task, number),
                     None => false,
                 };
-                let after = if is_acknowledged { 2 } else { 700 };
-                let event =
-                    Event::StopAnswered { worker: target.worker, task, number, is_acknowledged };
-                self.send_event(host, after, event);
+                let after = if is_acknowledged { 2 } else { timeout_ms };
+                (after, WorkerAnswer::Stop { task, number, is_acknowledged })
             }
-            Effect::Look { target, sent_at, ends_stored, lease_until_ms, wait, .. } => {
+            WorkerAsk::Look { sent_at, ends_stored, lease_until_ms, wait_ms } => {
                 let now_ms = self.now_ms;
-                let answer = match self.reached(&target.worker) {
-                    Some(worker) => worker.look(now_ms, target.token, ends_stored, lease_until_ms),
+                let answer = match self.reached(&worker) {
+                    Some(worker) => worker.look(now_ms, token, ends_stored, lease_until_ms),
                     None => LookAnswer::NoAnswer,
                 };
                 let is_quiet = matches!(
@@ -491,32 +547,17 @@
                     LookAnswer::Report { ended, .. } if ended.is_empty()
                 );
                 let after = match answer {
-                    LookAnswer::NoAnswer => 700,
+                    LookAnswer::NoAnswer => timeout_ms,
                     // A short wait stands for one that ends with the next end.
-                    _ if is_quiet && !wait.is_zero() => 20,
+                    _ if is_quiet && wait_ms > 0 => 20,
                     _ => 2,
                 };
-                let event = Event::LookAnswered { worker: target.worker, sent_at, answer };
-                self.send_event(host, after, event);
+                (after, WorkerAnswer::Look { sent_at, answer })
             }
-            Effect::Advise(question) => {
-                *self.seen.questions_by_host.entry(host).or_default() += 1;
-                let mut eligible = Vec::new();
-                for worker in &question.workers {
-                    // Two of three workers may run any step.
-                    if worker.as_bytes().last().is_some_and(|digit| digit % 3 != 0) {
-                        eligible.push((worker.clone(), "ticket".to_owned()));
-                    }
-                }
-                let answer = Some(Advice { eligible, valid_ms: 1_500 });
-                let after = self.advice_ms;
-                self.send_event(host, after, Event::Advised { ticket: question.ticket, answer });
-            }
-            Effect::Connect { decider } => self.connect(host, decider),
-            Effect::Send { to, message } => self.send(host, &to, message),
-            Effect::Answer { ticket, answer } => self.note_answer(ticket, &answer),
-            Effect::Ready(_) => {}
-        }
+        };
+        let reply = Box::new(WorkerReply { worker, token, answer });
+        self.seen.calls_by_host.entry(host).and_modify(|calls| *calls += 1).or_insert(1);
+        self.send_event(host, after, Event::Replied(reply));
     }
 
     fn reached(&mut self, id: &str) -> Option<&mut SimWorker> {
@@ -611,7 +652,9 @@
         self.hosts[host].connected_to = Some(to);
         for (a, b) in [(host, to), (to, host)] {
             let from: pier_core::ids::HostId = self.hosts[b].name.as_str().into();
-            let message = Message::Hello { host: from.clone() };
+            let zone = if b % 2 == 0 { "north" } else { "south" };
+            let info = PeerInfo { host: from.clone(), zone: zone.into(), core_permille: 250 };
+            let message = Message::Hello(info);
             self.send_event(a, 2, Event::Peer { from, message });
         }
     }
@@ -714,6 +757,22 @@
     }
 }
 
+fn unanswered(ask: &WorkerAsk) -> WorkerAnswer {
+    match ask {
+        WorkerAsk::Start(order) => WorkerAnswer::Start {
+            task: order.task.clone(),
+            number: order.number,
+            answer: StartAnswer::NoAnswer,
+        },
+        WorkerAsk::Stop { task, number } => {
+            WorkerAnswer::Stop { task: task.clone(), number: *number, is_acknowledged: false }
+        }
+        WorkerAsk::Look { sent_at, .. } => {
+            WorkerAnswer::Look { sent_at: *sent_at, answer: LookAnswer::NoAnswer }
+        }
+    }
+}
+
 fn answer<T>(
     is_lost: bool,
     stretch: Result<pier_cell::follow::Stretch<T>, ReadError>,
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -9,7 +9,7 @@
 use std::time;
 
 use pier_cell::event::Event;
-use pier_cell::peer::Message;
+use pier_cell::peer::{Message, PeerInfo};
 use pier_core::ids;
 use pier_core::map::Map;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
@@ -27,8 +27,7 @@
 const RECONNECT_PAUSE: time::Duration = time::Duration::from_millis(150);
 /// The most bytes of a frame. A submission is bounded by the callers' interface.
 const MOST_FRAME_BYTES: usize = 1 << 20;
-/// The most messages that wait for a connection. More are dropped; callers then hear that their
-/// call's fate is unknown.
+/// The most messages that wait for a connection. With more it is given up.
 const MOST_QUEUED: usize = 4_096;
 /// The most connections that are taken from other hosts.
 const MOST_CONNECTIONS: usize = 256;
@@ -47,7 +46,7 @@
 }
 
 struct Shared {
-    host: ids::HostId,
+    me: PeerInfo,
     links: Links,
     inputs: flume::Sender<Input>,
     next_number: RefCell<u64>,
@@ -55,9 +54,9 @@
 
 impl Peers {
     /// Takes connections on `listener` and sends what happens to `inputs`.
-    pub fn start(host: ids::HostId, listener: TcpListener, inputs: flume::Sender<Input>) -> Self {
+    pub fn start(me: PeerInfo, listener: TcpListener, inputs: flume::Sender<Input>) -> Self {
         let shared = rc::Rc::new(Shared {
-            host,
+            me,
             links: Links::default(),
             inputs,
             next_number: RefCell::new(0),
@@ -92,12 +91,15 @@
     /// Sends to a connected host. A message to a host that is not connected is dropped: its sender
     /// hears of the lost connection.
     pub fn send(&self, to: &ids::HostId, message: Message) {
-        let links = self.shared.links.borrow();
+        let mut links = self.shared.links.borrow_mut();
         let Some(link) = links.get(to) else {
             return;
         };
         if link.queue.try_send(message).is_err() {
-            tracing::warn!(host = %to, "message dropped, the connection's queue is full");
+            // Its reader does not keep up. What waits for an answer must hear that none comes.
+            tracing::warn!(host = %to, "connection given up, its queue is full");
+            links.remove(to);
+            send_input(&self.shared, Event::PeerGone { host: ids::HostId::clone(to) });
         }
     }
 }
@@ -151,18 +153,19 @@
     let (read, write) = stream.into_split();
     let mut read = BufReader::new(read);
     let (queue, messages) = flume::bounded(MOST_QUEUED);
-    let hello = Message::Hello { host: ids::HostId::clone(&shared.host) };
+    let hello = Message::Hello(shared.me.clone());
     if queue.send(hello).is_err() {
         return;
     }
     let writer = task::spawn_local(write_all(write, messages));
-    let peer = match read_message(&mut read).await {
-        Some(Message::Hello { host }) => host,
+    let info = match read_message(&mut read).await {
+        Some(Message::Hello(info)) => info,
         _ => {
             writer.abort();
             return;
         }
     };
+    let peer = ids::HostId::clone(&info.host);
     let number = {
         let mut next = shared.next_number.borrow_mut();
         *next += 1;
@@ -172,7 +175,7 @@
     let registered =
         Registered { shared: rc::Rc::clone(&shared), peer: ids::HostId::clone(&peer), number };
     let from = || ids::HostId::clone(&peer);
-    let message = Message::Hello { host: from() };
+    let message = Message::Hello(info);
     send_input(&shared, Event::Peer { from: from(), message });
     while let Some(message) = read_message(&mut read).await {
         if writer.is_finished() {
