Let small hosts pass calls on without following the cell's log

Cause: each of the 36 hosts with 0.12 of a core and 10 Mbit/s read and folded all jobs of the grown cell (78 KB/s). Messages to them waited behind it: a job's end reached them 75 ms after it was decided at the median, larger hosts after 15 ms (trial with debug lines), and every answer to a caller there took as long.

Change: a host with less than a quarter of a core learns who decides from announcements in a topic of their own, and follows the log only when it has had no decider for 2.5 s. Every host asks the decider for the state of a job whose end it does not know, and answers by its own view after 0.4 s; the messages that told all hosts of ends are gone.

--- a/crates/cell/src/callers.rs
+++ b/crates/cell/src/callers.rs
@@ -15,6 +15,9 @@
 /// takes about so long; after it the caller is better off at another host.
 const DECIDER_PATIENCE: time::Duration = time::Duration::from_millis(900);
 
+/// How long a call that changes nothing waits for the decider.
+const READ_PATIENCE: time::Duration = time::Duration::from_millis(400);
+
 /// What a call wants from the decider.
 #[derive(Debug, Clone)]
 pub enum Wanted {
@@ -22,22 +25,36 @@
     Submit(sync::Arc<JobSpec>),
     /// To cancel a job.
     Cancel(ids::JobId),
+    /// To tell a job's state.
+    Show(ids::JobId),
+    /// To tell how many jobs of a queue have not begun.
+    Pending(ids::QueueId),
 }
 
 impl Wanted {
-    /// The job in question.
-    pub fn job(&self) -> &ids::JobId {
+    /// What the call is about: a job, or a queue.
+    pub fn subject(&self) -> &str {
         match self {
             Self::Submit(spec) => &spec.id,
-            Self::Cancel(id) => id,
+            Self::Cancel(id) | Self::Show(id) => id,
+            Self::Pending(queue) => queue,
         }
     }
 
+    /// Whether the call changes nothing, so that any host with a recent view can answer it.
+    pub fn is_read(&self) -> bool {
+        matches!(self, Self::Show(_) | Self::Pending(_))
+    }
+
     /// The message to the decider.
     pub fn to_message(&self, ticket: ids::Ticket) -> Message {
         match self {
             Self::Submit(spec) => Message::Submit { ticket, spec: sync::Arc::clone(spec) },
             Self::Cancel(job) => Message::Cancel { ticket, job: ids::JobId::clone(job) },
+            Self::Show(job) => Message::Show { ticket, job: ids::JobId::clone(job) },
+            Self::Pending(queue) => {
+                Message::CountPending { ticket, queue: ids::QueueId::clone(queue) }
+            }
         }
     }
 }
@@ -113,17 +130,24 @@
         verdict: Verdict,
     ) -> Option<Answer> {
         let is_last = self.waiting.get(&ticket)?.passed_to == Some(token);
+        // What is stored stays so, whoever says it.
         if !is_last && verdict != Verdict::Stored {
             tracing::debug!(ticket, token, ?verdict, "verdict of an earlier decider left out");
             return None;
         }
         let call = self.waiting.remove(&ticket)?;
         let waited_ms = pier_core::clock::millis(now.saturating_sub(call.arrived_at));
-        tracing::info!(job = %call.wanted.job(), ?verdict, waited_ms, "call answered");
+        if call.wanted.is_read() {
+            tracing::debug!(job = call.wanted.subject(), ?verdict, waited_ms, "call answered");
+        } else {
+            tracing::info!(job = call.wanted.subject(), ?verdict, waited_ms, "call answered");
+        }
         Some(match (verdict, call.wanted) {
             (Verdict::Stored, Wanted::Submit(_)) => Answer::Accepted,
-            (Verdict::Stored, Wanted::Cancel(_)) => Answer::Cancelled,
+            (Verdict::Stored, _) => Answer::Cancelled,
             (Verdict::Unknown, _) => Answer::NoJob,
+            (Verdict::State(state), _) => Answer::State(state),
+            (Verdict::Pending(count), _) => Answer::Pending(count),
             (Verdict::Rejected { reason, retry_after_ms }, _) => Answer::Rejected {
                 reason,
                 retry_after: time::Duration::from_millis(retry_after_ms),
@@ -131,6 +155,27 @@
         })
     }
 
+    /// Takes the calls that change nothing and that the decider does not answer in time: this host
+    /// answers them by its own view. With `has_own_view` it does so at once if there is no decider.
+    pub fn take_overdue_reads(
+        &mut self,
+        now: time::Duration,
+        has_decider: bool,
+        has_own_view: bool,
+    ) -> Vec<(ids::Ticket, Wanted)> {
+        let mut overdue = Vec::new();
+        for (ticket, call) in &self.waiting {
+            let is_late = now >= call.arrived_at.saturating_add(READ_PATIENCE);
+            if call.wanted.is_read() && (is_late || (!has_decider && has_own_view)) {
+                overdue.push((*ticket, call.wanted.clone()));
+            }
+        }
+        for (ticket, _) in &overdue {
+            self.waiting.remove(ticket);
+        }
+        overdue
+    }
+
     /// The calls that are answered without a verdict: those that can wait no longer and, while no
     /// decider is at hand, those that no decider has got. A host that is cut off waits for no
     /// decider: the caller is better off at another host.
@@ -164,7 +209,7 @@
                 }
             };
             let waited_ms = pier_core::clock::millis(now.saturating_sub(call.arrived_at));
-            tracing::warn!(job = %call.wanted.job(), ?answer, waited_ms, "call given up");
+            tracing::warn!(job = call.wanted.subject(), ?answer, waited_ms, "call given up");
             answered.push((*ticket, answer));
         }
         for (ticket, _) in &answered {
@@ -178,6 +223,9 @@
         let mut due_at = time::Duration::MAX;
         for call in self.waiting.values() {
             due_at = due_at.min(call.answer_by);
+            if call.wanted.is_read() {
+                due_at = due_at.min(call.arrived_at.saturating_add(READ_PATIENCE));
+            }
             // A call that was passed on may stay open after that, and must not keep the host awake.
             let patience_ends_at = call.arrived_at.saturating_add(DECIDER_PATIENCE);
             if !has_decider && (call.passed_to.is_none() || patience_ends_at > now) {
--- a/crates/cell/src/decider/append.rs
+++ b/crates/cell/src/decider/append.rs
@@ -10,7 +10,7 @@
 use crate::effect::Effect;
 use crate::event::AppendAnswer;
 use crate::follow::{Read, Topic};
-use crate::job::{JobState, TaskRef};
+use crate::job::TaskRef;
 use crate::ledger::EndedJob;
 use crate::options::Options;
 use crate::peer::{Message, Verdict};
@@ -28,8 +28,6 @@
     pub(super) jobs: BTreeSet<ids::JobId>,
     pub(super) replies: Vec<(Origin, Verdict)>,
     pub(super) orders: Vec<TaskRef>,
-    /// Final states that it makes known.
-    pub(super) verdicts: Vec<(ids::JobId, JobState)>,
     pub(super) ends: Vec<(ids::WorkerId, Life, u64)>,
     /// The decider's place is given up with it.
     pub(super) releases: bool,
@@ -70,12 +68,7 @@
         let mut records = vec![Record::batch(&Batch { incarnation: self.incarnation, sequence })];
         let jobs = std::mem::take(&mut self.dirty);
         let accepted = std::mem::take(&mut self.accepted);
-        let mut verdicts = Vec::new();
         for id in &jobs {
-            if let Some(verdict) = context.ledger.live.get(id).and_then(|job| job.progress.verdict)
-            {
-                verdicts.push((ids::JobId::clone(id), verdict));
-            }
             self.push_job_records(context, id, accepted.contains(id), &mut records);
         }
         self.push_forgotten(context, &mut records);
@@ -88,7 +81,6 @@
             jobs,
             replies: std::mem::take(&mut self.replies),
             orders: std::mem::take(&mut self.orders),
-            verdicts,
             ends: std::mem::take(&mut self.ends),
             releases: self.release.is_some(),
             is_unsure: false,
@@ -229,16 +221,16 @@
         };
         self.end = end;
         self.last_stored_at = context.now;
+        tracing::debug!(
+            append = append.ticket,
+            records = append.records.len(),
+            end,
+            took_ms = pier_core::clock::millis(context.now.saturating_sub(append.sent_at)),
+            "append stored"
+        );
         for (origin, verdict) in append.replies {
             self.reply(context, origin, verdict);
         }
-        if !append.verdicts.is_empty() {
-            // Callers ask any host, and the log reaches the others later.
-            for host in self.peers.keys() {
-                let message = Message::Ended { states: append.verdicts.clone() };
-                context.effects.push(Effect::Send { to: ids::HostId::clone(host), message });
-            }
-        }
         for (worker, life, up_to) in append.ends {
             let Some(worker) = self.workers.get_mut(&worker) else {
                 continue;
--- a/crates/cell/src/decider/carry.rs
+++ b/crates/cell/src/decider/carry.rs
@@ -11,13 +11,10 @@
 use crate::decider::{Context, Decider};
 use crate::effect::Effect;
 use crate::event::{WorkerAnswer, WorkerReply};
-use crate::peer::{Message, PeerInfo};
+use crate::peer::{Message, PeerInfo, USUAL_CORE_PERMILLE};
 use crate::run::RunPhase;
 use crate::worker::Worker;
 
-/// Hosts with less of a core are slow to pass on what workers answer.
-const USUAL_CORE_PERMILLE: u32 = 250;
-
 impl Decider {
     /// Takes the answer to a call of a worker.
     pub fn on_reply(&mut self, context: &mut Context<'_>, reply: WorkerReply) {
--- a/crates/cell/src/decider/intake.rs
+++ b/crates/cell/src/decider/intake.rs
@@ -8,7 +8,7 @@
 
 use crate::decider::{Context, Decider, Origin};
 use crate::job::{AccountId, JobSpec, JobState};
-use crate::ledger::LiveJob;
+use crate::ledger::{Ledger, LiveJob};
 use crate::peer::Verdict;
 use crate::place;
 use crate::progress::Progress;
@@ -105,6 +105,41 @@
         self.reply(context, origin, verdict);
     }
 
+    /// Tells a job's state.
+    pub fn on_show(&mut self, context: &mut Context<'_>, origin: Origin, id: &ids::JobId) {
+        let is_view_old = context.now > self.last_stored_at.saturating_add(LOG_PATIENCE);
+        let verdict = match self.shown_state(context.ledger, id) {
+            Some(state) => Verdict::State(state),
+            // Another host may decide by now, and have taken the job.
+            None if is_view_old => Verdict::Rejected {
+                reason: "the log is not available".to_owned(),
+                retry_after_ms: pier_core::clock::millis(context.options.retry_after),
+            },
+            None => Verdict::Unknown,
+        };
+        self.reply(context, origin, verdict);
+    }
+
+    /// Tells how many jobs of a queue have not begun.
+    pub fn on_count_pending(
+        &mut self,
+        context: &mut Context<'_>,
+        origin: Origin,
+        queue: &ids::QueueId,
+    ) {
+        let verdict = Verdict::Pending(context.ledger.pending(queue));
+        self.reply(context, origin, verdict);
+    }
+
+    /// A job's state as far as it is stored.
+    pub fn shown_state(&self, ledger: &Ledger, id: &str) -> Option<JobState> {
+        let state = ledger.state_of(id)?;
+        if state.is_final() && !self.is_stored(id) {
+            return Some(JobState::Running);
+        }
+        Some(state)
+    }
+
     fn reply_when_stored(&mut self, context: &mut Context<'_>, id: &ids::JobId, origin: Origin) {
         if self.dirty.contains(id) {
             self.replies.push((origin, Verdict::Stored));
--- a/crates/cell/src/effect.rs
+++ b/crates/cell/src/effect.rs
@@ -129,6 +129,13 @@
         /// How long the answer may take.
         timeout: time::Duration,
     },
+    /// Append to the topic of the deciders' announcements.
+    Announce {
+        /// The announcement.
+        record: Record,
+        /// How long the answer may take.
+        timeout: time::Duration,
+    },
     /// Call a worker.
     Call(Box<WorkerCall>),
     /// Ask the adviser.
--- a/crates/cell/src/event.rs
+++ b/crates/cell/src/event.rs
@@ -239,6 +239,13 @@
     Tick,
     /// The log answered a read of the cell's log.
     Cell(ReadAnswer<Record>),
+    /// The log answered a read of the announcements of deciders.
+    Deciders(ReadAnswer<Record>),
+    /// The log answered an announcement of this host.
+    Announced {
+        /// Whether it is certain that it was stored.
+        is_stored: bool,
+    },
     /// The log answered a read of the operators' records.
     Operators(ReadAnswer<OperatorRecord>),
     /// The log answered a read of the workers' records.
--- a/crates/cell/src/follow.rs
+++ b/crates/cell/src/follow.rs
@@ -12,6 +12,9 @@
     /// The cell's own log.
     #[display("cell")]
     Cell,
+    /// The announcements of deciders.
+    #[display("deciders")]
+    Deciders,
     /// What the operators declare.
     #[display("operators")]
     Operators,
--- a/crates/cell/src/host/calls.rs
+++ b/crates/cell/src/host/calls.rs
@@ -23,7 +23,12 @@
             && self.is_fresh(now, self.operators.as_of(), self.options.key_freshness())
             && self.ledger.decider.is_some()
             && has_decider
-            && (self.is_decider() || self.is_fresh(now, self.cell.as_of(), VIEW_FRESHNESS))
+            && (self.is_observing || self.has_own_view(now))
+    }
+
+    /// Whether this host knows of all jobs that callers may know of.
+    fn has_own_view(&self, now: time::Duration) -> bool {
+        self.is_decider() || self.is_fresh(now, self.cell.as_of(), VIEW_FRESHNESS)
     }
 
     fn is_fresh(
@@ -101,8 +106,12 @@
 
     /// Whether this host reaches neither the log nor a decider.
     pub(super) fn is_cut_off(&self, now: time::Duration) -> bool {
-        !self.has_decider()
-            && (self.cell.is_failing() || !self.is_fresh(now, self.cell.as_of(), CUT_OFF_AFTER))
+        let (is_failing, as_of) = if self.is_observing {
+            (self.deciders.is_failing(), self.deciders.as_of())
+        } else {
+            (self.cell.is_failing(), self.cell.as_of())
+        };
+        !self.has_decider() && (is_failing || !self.is_fresh(now, as_of, CUT_OFF_AFTER))
     }
 
     /// Answers a call from what the host knows, or keeps it for the decider.
@@ -115,49 +124,73 @@
         account: Option<AccountId>,
         id: &str,
     ) -> Option<Answer> {
-        let is_view_fresh =
-            self.is_decider() || self.is_fresh(now, self.cell.as_of(), VIEW_FRESHNESS);
-        match call.ask {
-            Ask::Show if id.is_empty() => Some(if is_view_fresh {
-                Answer::Pending(self.ledger.pending(&queue))
-            } else {
-                self.reject(now, "the view of the jobs is too old")
-            }),
-            _ if id.is_empty() => Some(Answer::Invalid("the path names no job".to_owned())),
-            Ask::Show => Some(match self.shown_state(id) {
-                Some(state) => Answer::State(state),
-                None if is_view_fresh => Answer::NoJob,
-                None => self.reject(now, "the view of the jobs is too old"),
-            }),
-            Ask::Cancel => {
-                let wanted = Wanted::Cancel(ids::JobId::from(id));
-                self.calls.add(now, ticket, wanted, call.patience, &self.options);
-                None
+        let wanted = match call.ask {
+            Ask::Show if id.is_empty() => Wanted::Pending(queue),
+            _ if id.is_empty() => {
+                return Some(Answer::Invalid("the path names no job".to_owned()));
+            }
+            Ask::Show => {
+                // A final state stays as it is, so no one needs to be asked.
+                if let Some(state) = self.known_final_state(id) {
+                    return Some(Answer::State(state));
+                }
+                Wanted::Show(ids::JobId::from(id))
             }
-            Ask::Submit(Err(invalid)) => Some(Answer::Invalid(invalid.reason)),
+            Ask::Cancel => Wanted::Cancel(ids::JobId::from(id)),
+            Ask::Submit(Err(invalid)) => return Some(Answer::Invalid(invalid.reason)),
             Ask::Submit(Ok(mut spec)) => {
                 spec.id = ids::JobId::from(id);
                 spec.queue = queue;
                 spec.account = account;
-                let wanted = Wanted::Submit(sync::Arc::new(*spec));
-                self.calls.add(now, ticket, wanted, call.patience, &self.options);
-                None
+                Wanted::Submit(sync::Arc::new(*spec))
             }
+        };
+        if self.is_decider() && wanted.is_read() {
+            return Some(self.answer_read(now, &wanted));
         }
+        self.calls.add(now, ticket, wanted, call.patience, &self.options);
+        None
     }
 
-    /// The job's state as far as it is stored.
-    fn shown_state(&self, id: &str) -> Option<JobState> {
-        // The decider tells the host of a submission before the log does.
-        if let Some((state, _)) = self.told.get(id) {
-            return Some(*state);
-        }
-        let state = self.ledger.state_of(id)?;
-        match &self.role {
-            Role::Deciding(decider) if state.is_final() && !decider.is_stored(id) => {
-                Some(JobState::Running)
+    fn known_final_state(&self, id: &str) -> Option<JobState> {
+        let state = match &self.role {
+            Role::Deciding(decider) => decider.shown_state(&self.ledger, id)?,
+            _ => self.ledger.state_of(id)?,
+        };
+        state.is_final().then_some(state)
+    }
+
+    /// Answers a call that changes nothing by this host's own view.
+    fn answer_read(&self, now: time::Duration, wanted: &Wanted) -> Answer {
+        let has_own_view = self.has_own_view(now);
+        match wanted {
+            Wanted::Pending(queue) if has_own_view => Answer::Pending(self.ledger.pending(queue)),
+            Wanted::Show(id) => {
+                let state = match &self.role {
+                    Role::Deciding(decider) => decider.shown_state(&self.ledger, id),
+                    _ => self.ledger.state_of(id),
+                };
+                match state {
+                    Some(state) => Answer::State(state),
+                    None if has_own_view => Answer::NoJob,
+                    None => self.reject(now, "the view of the jobs is too old"),
+                }
             }
-            _ => Some(state),
+            _ => self.reject(now, "the view of the jobs is too old"),
+        }
+    }
+
+    /// Answers the calls that change nothing and that no decider answers.
+    pub(super) fn answer_overdue_reads(&mut self, now: time::Duration, out: &mut Vec<Effect>) {
+        if self.calls.is_empty() {
+            return;
+        }
+        let has_own_view = self.has_own_view(now);
+        for (ticket, wanted) in self.calls.take_overdue_reads(now, self.has_decider(), has_own_view)
+        {
+            let answer = self.answer_read(now, &wanted);
+            tracing::info!(job = wanted.subject(), ?answer, "answered without the decider");
+            out.push(Effect::Answer { ticket, answer });
         }
     }
 
@@ -170,6 +203,8 @@
                 self.with_decider(now, wall_ms, out, |decider, context| match wanted {
                     Wanted::Submit(spec) => decider.on_submit(context, origin, spec),
                     Wanted::Cancel(id) => decider.on_cancel(context, origin, &id),
+                    Wanted::Show(id) => decider.on_show(context, origin, &id),
+                    Wanted::Pending(queue) => decider.on_count_pending(context, origin, &queue),
                 });
             }
             return;
--- a/crates/cell/src/host/claim.rs
+++ b/crates/cell/src/host/claim.rs
@@ -212,6 +212,7 @@
         self.last_token = token;
         self.log_lost_at = None;
         self.role = Role::Deciding(Box::new(decider));
+        self.announce_at = Some(now);
         self.workers.restart(now);
         self.connected_to = None;
     }
--- a/crates/cell/src/host/mod.rs
+++ b/crates/cell/src/host/mod.rs
@@ -12,7 +12,6 @@
 use crate::effect::Effect;
 use crate::event::{Event, OperatorRecord, ReadAnswer, WorkerRecord};
 use crate::follow::{Follower, Learned, ReadError, Topic};
-use crate::job::JobState;
 use crate::ledger::Ledger;
 use crate::options::Options;
 use crate::peer::{Message, PeerInfo};
@@ -20,6 +19,7 @@
 
 mod calls;
 mod claim;
+mod observe;
 
 /// How long the decider's connection may be away before the host takes no new callers. A change of
 /// the decider is over by then.
@@ -28,8 +28,6 @@
 const CUT_OFF_AFTER: time::Duration = time::Duration::from_millis(2_000);
 /// How old the view of the jobs may be for the host to tell that a job does not exist.
 const VIEW_FRESHNESS: time::Duration = time::Duration::from_millis(2_500);
-/// How long a final state that the decider has told of stands in for the log.
-const TOLD_VALIDITY: time::Duration = time::Duration::from_secs(10);
 /// The longest time between two looks at the clock.
 const LONGEST_SLEEP: time::Duration = time::Duration::from_millis(200);
 
@@ -42,6 +40,8 @@
     pub address: sync::Arc<str>,
     /// Its process.
     pub incarnation: ids::Incarnation,
+    /// The part of a processor core that it may use, in thousandths.
+    pub core_permille: u32,
 }
 
 impl Member {
@@ -89,8 +89,14 @@
     connected_to: Option<ids::HostId>,
     wanted_connection: Option<(ids::HostId, sync::Arc<str>)>,
     disconnected_at: time::Duration,
-    /// Final states that the decider has told of ahead of the log, and when.
-    told: BTreeMap<ids::JobId, (JobState, time::Duration)>,
+    /// The announcements of deciders, for a host that does not follow the cell's log.
+    deciders: Follower<Record>,
+    /// Whether the host leaves the cell's log to others.
+    is_observing: bool,
+    /// Since when no decider is connected.
+    alone_since: Option<time::Duration>,
+    /// When the next announcement of this decider is due; none while one is under way.
+    announce_at: Option<time::Duration>,
     /// When the decider last said that it does not reach the log.
     log_lost_at: Option<time::Duration>,
     /// The token of a decider that has said that it no longer decides.
@@ -126,7 +132,10 @@
             log_lost_at: None,
             deposed_token: 0,
             missed_at: None,
-            told: BTreeMap::new(),
+            deciders: Follower::new(time::Duration::ZERO),
+            is_observing: false,
+            alone_since: None,
+            announce_at: None,
             last_token: 0,
             is_ready: false,
             is_stopping: false,
@@ -174,6 +183,9 @@
                 due_at = due_at.min(decider.due_at(&self.options));
                 due_at = due_at.min(self.workers.due_at().unwrap_or(due_at));
             }
+            _ if self.is_observing => {
+                due_at = due_at.min(self.deciders.due_at().unwrap_or(due_at));
+            }
             _ => due_at = due_at.min(self.cell.due_at().unwrap_or(due_at)),
         }
         due_at.saturating_sub(now)
@@ -183,6 +195,8 @@
         match event {
             Event::Tick => {}
             Event::Cell(answer) => self.on_cell(now, wall_ms, answer, out),
+            Event::Deciders(answer) => self.on_deciders(now, answer),
+            Event::Announced { is_stored } => self.on_announced(now, is_stored),
             Event::Operators(answer) => self.on_operators(now, answer),
             Event::Workers(answer) => self.on_workers(now, wall_ms, answer, out),
             Event::Called { ticket, call } => self.on_call(now, wall_ms, ticket, *call, out),
@@ -251,6 +265,7 @@
     }
 
     fn advance(&mut self, now: time::Duration, wall_ms: u64, out: &mut Vec<Effect>) {
+        self.choose_what_to_follow(now);
         self.claim_if_due(now, out);
         self.with_decider(now, wall_ms, out, |decider, context| decider.advance(context));
         let timeout = self.options.log_timeout;
@@ -261,6 +276,11 @@
             if let Some(read) = self.workers.poll(now, &self.options) {
                 out.push(Effect::Read { topic: Topic::Workers, read, timeout });
             }
+            self.announce(now, out);
+        } else if self.is_observing {
+            if let Some(read) = self.deciders.poll(now, &self.options) {
+                out.push(Effect::Read { topic: Topic::Deciders, read, timeout });
+            }
         } else {
             self.cell.set_gap(self.follow_gap(now));
             if let Some(read) = self.cell.poll(now, &self.options) {
@@ -269,6 +289,7 @@
         }
         self.connect(now, out);
         self.pass_calls(now, wall_ms, out);
+        self.answer_overdue_reads(now, out);
         let has_decider = self.has_decider();
         let is_cut_off = self.is_cut_off(now);
         for (ticket, answer) in self.calls.give_up(now, has_decider, is_cut_off, &self.options) {
@@ -312,10 +333,6 @@
         for (offset, record) in &learned.records {
             self.ledger.fold(*offset, record);
         }
-        let ledger = &self.ledger;
-        self.told.retain(|id, (_, told_at)| {
-            now < told_at.saturating_add(TOLD_VALIDITY) && !ledger.ended.contains_key(id)
-        });
         if learned.is_at_tail {
             self.begin_if_claimed(now, wall_ms, out);
         }
@@ -398,11 +415,6 @@
                     out.push(Effect::Answer { ticket, answer });
                 }
             }
-            Message::Ended { states } => {
-                for (job, state) in states {
-                    self.told.insert(job, (state, now));
-                }
-            }
             Message::Call(call) => {
                 if self.is_decider() {
                     tracing::info!(from = %from, token = call.target.token,
@@ -426,7 +438,12 @@
                     self.calls.repeat_all();
                 }
             }
-            Message::Submit { .. } | Message::Cancel { .. } if !self.is_decider() => {
+            Message::Submit { .. }
+            | Message::Cancel { .. }
+            | Message::Show { .. }
+            | Message::CountPending { .. }
+                if !self.is_decider() =>
+            {
                 let message = Message::NotDeciding { token: self.last_token };
                 out.push(Effect::Send { to: from, message });
             }
@@ -440,6 +457,16 @@
                     decider.on_cancel(context, Origin::Remote(from, ticket), &job);
                 });
             }
+            Message::Show { ticket, job } => {
+                self.with_decider(now, wall_ms, out, |decider, context| {
+                    decider.on_show(context, Origin::Remote(from, ticket), &job);
+                });
+            }
+            Message::CountPending { ticket, queue } => {
+                self.with_decider(now, wall_ms, out, |decider, context| {
+                    decider.on_count_pending(context, Origin::Remote(from, ticket), &queue);
+                });
+            }
             Message::Advice { ticket, answer } => {
                 self.with_decider(now, wall_ms, out, |decider, context| {
                     decider.on_advice(context, ticket, answer.as_ref());
--- a/crates/cell/src/peer.rs
+++ b/crates/cell/src/peer.rs
@@ -9,6 +9,10 @@
 use crate::event::WorkerReply;
 use crate::job::{JobSpec, JobState, StepIndex};
 
+/// Hosts with less of a core, in thousandths, pass calls on and leave the rest to others: they are
+/// slow to fold the log and to carry what workers answer.
+pub const USUAL_CORE_PERMILLE: u32 = 250;
+
 /// What a host says of itself when it connects.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerInfo {
@@ -51,7 +55,21 @@
         /// The job.
         job: ids::JobId,
     },
-    /// What became of a submission or of a cancellation.
+    /// A caller asks for a job's state.
+    Show {
+        /// Names the call in the answer.
+        ticket: ids::Ticket,
+        /// The job.
+        job: ids::JobId,
+    },
+    /// A caller asks how many jobs of a queue have not begun.
+    CountPending {
+        /// Names the call in the answer.
+        ticket: ids::Ticket,
+        /// The queue.
+        queue: ids::QueueId,
+    },
+    /// What became of a call.
     Verdict {
         /// The call that it answers.
         ticket: ids::Ticket,
@@ -60,11 +78,6 @@
         /// What became of it.
         verdict: Verdict,
     },
-    /// Jobs have final states, which are stored.
-    Ended {
-        /// The jobs and their states.
-        states: Vec<(ids::JobId, JobState)>,
-    },
     /// The host is to call a worker.
     Call(Box<WorkerCall>),
     /// What the worker answered.
@@ -90,6 +103,10 @@
     Stored,
     /// No such job is known.
     Unknown,
+    /// The job's state as far as it is stored.
+    State(JobState),
+    /// So many jobs of the queue have not begun.
+    Pending(usize),
     /// It was rejected and has no effect.
     Rejected {
         /// Why.
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -38,6 +38,15 @@
     pub is_released: bool,
 }
 
+/// The announcement of a decider to hosts that do not follow the cell's log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Notice {
+    /// Who decides.
+    pub claim: Claim,
+    /// The fencing token that follows from the claim's offset in the cell's log.
+    pub token: u64,
+}
+
 /// The first record of each append. It tells an append from a repeat by another process.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Batch {
@@ -98,6 +107,21 @@
         Self { key: CLAIM_KEY.to_owned(), value: Some(to_json(claim)) }
     }
 
+    /// The record that announces a decider, in a topic of its own.
+    pub fn notice(notice: &Notice) -> Self {
+        Self { key: CLAIM_KEY.to_owned(), value: Some(to_json(notice)) }
+    }
+
+    /// The announcement that the record holds.
+    ///
+    /// # Errors
+    /// The value is not an announcement.
+    pub fn to_notice(&self) -> Result<Notice, UnreadableRecord> {
+        let unreadable = || UnreadableRecord { key: self.key.clone() };
+        let value = self.value.as_deref().ok_or_else(unreadable)?;
+        serde_json::from_slice(value).map_err(|_| unreadable())
+    }
+
     /// The record at the start of an append.
     pub fn batch(batch: &Batch) -> Self {
         Self { key: BATCH_KEY.to_owned(), value: Some(to_json(batch)) }
--- a/crates/cell/tests/cell_faults.rs
+++ b/crates/cell/tests/cell_faults.rs
@@ -389,6 +389,87 @@
     check(&sim);
 }
 
+/// A cell in which the hosts from `first_small` on have little of a processor core, and in which the
+/// decider calls no worker itself.
+fn with_small_hosts(seed: u64, hosts: usize, first_small: usize) -> Sim {
+    let options = Options { most_own_workers: 0, ..Options::default() };
+    let mut sim = Sim::with_options(seed, hosts, 8, options);
+    for index in first_small..hosts {
+        sim.hosts[index].core_permille = 120;
+        sim.start_host(index);
+    }
+    sim
+}
+
+/// Guards against small hosts that are busy with the log of a large cell, and against jobs that
+/// they do not pass on or tell of.
+#[test]
+fn small_hosts_leave_the_log_to_others() {
+    let mut sim = with_small_hosts(21, 6, 2);
+    sim.run_for(2_000);
+    assert!(sim.decider().is_some_and(|decider| decider < 2));
+    sim.seen.cell_reads_by_host.clear();
+    let mut count = 0;
+    load(&mut sim, 4, &mut count);
+    sim.run_for(6_000);
+    assert_eq!(sim.seen.accepted.len(), count);
+    for small in 2..6 {
+        assert_eq!(sim.seen.cell_reads_by_host.get(&small), None, "host {small} read the log");
+        let shown = sim.show(small, &format!("{count:016x}"), "urgent");
+        assert_eq!(shown, Some(pier_cell::effect::Answer::State(JobState::Completed)));
+    }
+    check(&sim);
+}
+
+/// Guards against small hosts that find no new decider, or find one by its log only.
+#[test]
+fn small_hosts_follow_a_change_of_the_decider() {
+    let mut sim = with_small_hosts(22, 6, 2);
+    sim.run_for(2_000);
+    let decider = sim.decider().expect("a decider");
+    sim.kill_host(decider);
+    sim.run_for(1_500);
+    sim.seen.cell_reads_by_host.clear();
+    for small in 2..6 {
+        sim.submit(small, &format!("after{small:011}"), "urgent", vec![step(1, 1)]);
+    }
+    sim.run_for(500);
+    assert_eq!(sim.seen.accepted.len(), 4, "{:?}", sim.seen.answers);
+    sim.start_host(decider);
+    sim.run_for(6_000);
+    for small in 2..6 {
+        assert_eq!(sim.seen.cell_reads_by_host.get(&small), None, "host {small} read the log");
+    }
+    check(&sim);
+}
+
+/// Guards against a cell that stands still because only small hosts are left.
+#[test]
+fn small_hosts_decide_when_no_larger_one_is_left() {
+    let mut sim = with_small_hosts(23, 5, 2);
+    sim.run_for(2_000);
+    let mut count = 0;
+    load(&mut sim, 2, &mut count);
+    sim.kill_host(0);
+    sim.kill_host(1);
+    sim.run_for(5_000);
+    assert!(sim.decider().is_some_and(|decider| decider >= 2));
+    sim.submit(3, "after", "urgent", vec![step(1, 1)]);
+    sim.run_for(2_500);
+    assert_eq!(sim.stored_state("after"), Some(JobState::Completed));
+    sim.start_host(0);
+    sim.run_for(10_000);
+    check(&sim);
+}
+
+/// Guards against work that is lost or doubled where half of the hosts do not follow the log.
+#[test]
+fn promises_hold_under_random_faults_with_small_hosts() {
+    play_seeds(|seed| {
+        random_faults(with_small_hosts(seed, 4, 2), KINDS_OF_FAULTS + KINDS_BETWEEN_HOSTS);
+    });
+}
+
 fn random_faults(mut sim: Sim, kinds: u32) {
     sim.run_for(2_000);
     let mut count = 0;
--- a/crates/cell/tests/sim/mod.rs
+++ b/crates/cell/tests/sim/mod.rs
@@ -43,6 +43,7 @@
     pub paused_until_ms: u64,
     pub is_cut_from_store: bool,
     pub connected_to: Option<usize>,
+    pub core_permille: u32,
     wake_at_ms: u64,
 }
 
@@ -77,6 +78,7 @@
     pub claims: u64,
     pub questions_by_host: BTreeMap<usize, u64>,
     pub calls_by_host: BTreeMap<usize, u64>,
+    pub cell_reads_by_host: BTreeMap<usize, u64>,
     last_start_ms: BTreeMap<TaskRef, u64>,
     done: BTreeSet<TaskRef>,
 }
@@ -94,6 +96,7 @@
     /// The times and limits of hosts that start.
     pub options: Options,
     pub cell: store::Topic<Vec<u8>>,
+    pub deciders: store::Topic<Vec<u8>>,
     pub operators: store::Topic<OperatorRecord>,
     pub listed: store::Topic<Entry>,
     pub is_store_down: bool,
@@ -162,6 +165,7 @@
             cut_workers_of: BTreeSet::new(),
             options,
             cell: store::Topic::new(),
+            deciders: store::Topic::new(),
             operators: store::Topic::new(),
             listed: store::Topic::new(),
             is_store_down: false,
@@ -195,6 +199,7 @@
                 paused_until_ms: 0,
                 is_cut_from_store: false,
                 connected_to: None,
+                core_permille: 250,
                 wake_at_ms: 0,
             });
             sim.start_host(index);
@@ -250,6 +255,7 @@
             host: self.hosts[index].name.as_str().into(),
             address: index.to_string().into(),
             incarnation: self.next_process,
+            core_permille: self.hosts[index].core_permille,
         };
         let host = &mut self.hosts[index];
         host.process = Some(Host::new(me, self.options.clone()));
@@ -480,6 +486,15 @@
                     self.send_event(host, after, Event::Appended { ticket, answer });
                 }
             }
+            Effect::Announce { record, timeout } => {
+                let is_stored = !self.is_store_down && !self.hosts[host].is_cut_from_store;
+                if is_stored {
+                    self.deciders.push(&record.key, record.value);
+                }
+                let millis = u64::try_from(timeout.as_millis()).unwrap_or_default();
+                let after = if is_stored { self.delay(self.store_ms.clone()) } else { millis };
+                self.send_event(host, after, Event::Announced { is_stored });
+            }
             Effect::Call(call) => self.call_worker(host, *call),
             Effect::Advise(question) => {
                 *self.seen.questions_by_host.entry(host).or_default() += 1;
@@ -653,7 +668,8 @@
         for (a, b) in [(host, to), (to, host)] {
             let from: pier_core::ids::HostId = self.hosts[b].name.as_str().into();
             let zone = if b % 2 == 0 { "north" } else { "south" };
-            let info = PeerInfo { host: from.clone(), zone: zone.into(), core_permille: 250 };
+            let core_permille = self.hosts[b].core_permille;
+            let info = PeerInfo { host: from.clone(), zone: zone.into(), core_permille };
             let message = Message::Hello(info);
             self.send_event(a, 2, Event::Peer { from, message });
         }
@@ -686,10 +702,14 @@
     }
 
     fn read(&mut self, host: usize, topic: Topic, read: Read, timeout: time::Duration) {
+        if topic == Topic::Cell {
+            *self.seen.cell_reads_by_host.entry(host).or_default() += 1;
+        }
         if self.is_store_down || self.hosts[host].is_cut_from_store {
             let after = u64::try_from(timeout.as_millis()).unwrap_or_default();
             let event = match topic {
                 Topic::Cell => Event::Cell(ReadAnswer::Failed(ReadError::NoAnswer)),
+                Topic::Deciders => Event::Deciders(ReadAnswer::Failed(ReadError::NoAnswer)),
                 Topic::Operators => Event::Operators(ReadAnswer::Failed(ReadError::NoAnswer)),
                 Topic::Workers => Event::Workers(ReadAnswer::Failed(ReadError::NoAnswer)),
             };
@@ -703,6 +723,9 @@
                     Topic::Cell => {
                         Event::Cell(ReadAnswer::Page(self.cell.page(after, cell_record)))
                     }
+                    Topic::Deciders => {
+                        Event::Deciders(ReadAnswer::Page(self.deciders.page(after, cell_record)))
+                    }
                     Topic::Operators => Event::Operators(ReadAnswer::Page(
                         self.operators.page(after, |_, value| operator_record(value)),
                     )),
@@ -727,6 +750,7 @@
             let waiting = &self.waiting_reads[index];
             let end = match waiting.topic {
                 Topic::Cell => self.cell.end(),
+                Topic::Deciders => self.deciders.end(),
                 Topic::Operators => self.operators.end(),
                 Topic::Workers => self.listed.end(),
             };
@@ -743,6 +767,9 @@
             let from = waiting.offset;
             let event = match waiting.topic {
                 Topic::Cell => Event::Cell(answer(is_lost, self.cell.stretch(from, cell_record))),
+                Topic::Deciders => {
+                    Event::Deciders(answer(is_lost, self.deciders.stretch(from, cell_record)))
+                }
                 Topic::Operators => Event::Operators(answer(
                     is_lost,
                     self.operators.stretch(from, |_, value| operator_record(value)),
