Reserve an account's limit for its gang that waits for it

Cause: on the grown site small accounts' layouts waited up to 27 s while the account's smaller jobs took its limit bit by bit.

Change: while a gang waits for its account's limit only, steps behind it leave as much of the limit as the gang needs; if the account then uses less than half of its limit for 1.5 s, half can be used again.

The test fails without the reservation.

--- a/crates/cell/src/decider/mod.rs
+++ b/crates/cell/src/decider/mod.rs
@@ -111,6 +111,8 @@
     /// Runs whose stop is not acknowledged.
     stopping: BTreeSet<TaskRef>,
     account_used: Map<AccountId, Resources>,
+    /// Since when an account that is held back for a gang uses less than half of its limit.
+    low_since: Map<AccountId, time::Duration>,
     share_use: Map<AccountId, ShareUse>,
     /// Jobs that their accounts submitted beyond their shares.
     beyond_share: BTreeSet<ids::JobId>,
--- a/crates/cell/src/decider/schedule.rs
+++ b/crates/cell/src/decider/schedule.rs
@@ -5,10 +5,11 @@
 use std::time;
 
 use pier_core::ids;
+use pier_core::map::Map;
 use pier_core::resources::Resources;
 
 use crate::decider::{Context, Decider};
-use crate::job::{JobSpec, Step, StepIndex, TaskIndex, TaskRef};
+use crate::job::{AccountId, JobSpec, Step, StepIndex, TaskIndex, TaskRef};
 use crate::order::{self, Rank};
 use crate::place::{self, Leeway};
 use crate::progress::Phase;
@@ -23,6 +24,9 @@
 /// not wait where there is room.
 const CHOOSY_FOR: time::Duration = time::Duration::from_millis(1_200);
 
+/// How long an account that uses less than half of its limit is held back for a gang of its own.
+const RESERVED_BELOW_HALF: time::Duration = time::Duration::from_millis(1_500);
+
 /// A step with tasks that may start.
 pub(super) struct Candidate {
     pub(super) rank: Rank,
@@ -51,14 +55,30 @@
         }
         let mut candidates = self.candidates(context);
         self.note_waiting(context.now, &mut candidates);
+        let mut reserved: Map<AccountId, Resources> = Map::default();
         let mut keeping = 0;
         let mut still_keeping = Vec::new();
         for candidate in &candidates {
             let Some(queue) = context.directory.queue(&candidate.spec.queue) else {
                 continue;
             };
-            let limit = self.account_left(context, &candidate.spec);
-            if !candidate.step().need.fits_in(&limit) {
+            let mut limit = self.account_left(context, &candidate.spec);
+            if let Some(account) = &candidate.spec.account
+                && let Some(reserved) = reserved.get(account)
+            {
+                limit = self.unreserved(context, account, reserved);
+            }
+            let step = candidate.step();
+            if !step.need.fits_in(&limit) {
+                continue;
+            }
+            let waiting = candidate.waiting.len();
+            if step.gang && place::times(&step.need, &limit) < waiting {
+                // The steps behind it must not take the account's limit bit by bit.
+                if let Some(account) = &candidate.spec.account {
+                    let whole = step.need.scaled(u64::try_from(waiting).unwrap_or(u64::MAX), 1);
+                    reserved.entry(AccountId::clone(account)).or_insert(whole);
+                }
                 continue;
             }
             // Without a ticket and a host to ask, nothing can be done for the step now.
@@ -71,7 +91,6 @@
                 continue;
             }
             let mut rooms = self.ready_rooms(context, candidate, queue);
-            let waiting = candidate.waiting.len();
             let placed =
                 place::place(candidate.step(), waiting, &limit, &candidate.leeway, &mut rooms);
             for (index, room) in candidate.waiting.iter().zip(&placed) {
@@ -92,6 +111,7 @@
                 self.ask(context, candidate, queue, terms, &limit, is_keeping);
             }
         }
+        self.low_since.retain(|account, _| reserved.contains_key(account));
         self.kept.retain(|_, (job, step, _)| {
             still_keeping.iter().any(|(kept_job, kept_step)| kept_job == job && kept_step == step)
         });
@@ -176,6 +196,31 @@
         }
     }
 
+    /// What is left to an account while a gang of it waits for its limit. Nothing of the account
+    /// stands still for the gang for long: half of the limit can be used again after a while.
+    fn unreserved(
+        &mut self,
+        context: &Context<'_>,
+        name: &AccountId,
+        reserved: &Resources,
+    ) -> Resources {
+        let Some(account) = context.directory.account(name) else {
+            return Resources::ZERO;
+        };
+        let used = self.account_used.get(name).copied().unwrap_or_default();
+        let half = account.cap.scaled(1, 2);
+        let mut open = account.cap.minus(reserved);
+        if used.fits_in(&half) {
+            let since = *self.low_since.entry(AccountId::clone(name)).or_insert(context.now);
+            if context.now >= since.saturating_add(RESERVED_BELOW_HALF) {
+                open = open.max(&half);
+            }
+        } else {
+            self.low_since.remove(name);
+        }
+        open.minus(&used)
+    }
+
     pub(super) fn account_left(&self, context: &Context<'_>, spec: &JobSpec) -> Resources {
         let Some(name) = &spec.account else {
             return Resources::MAX;
--- a/crates/cell/src/decider/takeover.rs
+++ b/crates/cell/src/decider/takeover.rs
@@ -57,6 +57,7 @@
             leases_checked_at: time::Duration::ZERO,
             stopping: BTreeSet::new(),
             account_used: Map::default(),
+            low_since: Map::default(),
             share_use: Map::default(),
             beyond_share: BTreeSet::new(),
             advice: BTreeMap::new(),
--- a/crates/cell/tests/cell_faults.rs
+++ b/crates/cell/tests/cell_faults.rs
@@ -340,6 +340,35 @@
     Sim::with_options(seed, 4, 8, options)
 }
 
+/// Guards against a gang that never starts because smaller jobs of its own account take the
+/// account's limit bit by bit.
+#[test]
+fn a_gang_gets_its_accounts_limit_although_smaller_jobs_go_on() {
+    let mut sim = Sim::new(14, 3, 8);
+    let mut directory = sim.directory.clone();
+    directory.version = 2;
+    directory.accounts[0].cap = sim::cores(16);
+    sim.declare(directory);
+    sim.run_for(2_000);
+    let submit = |sim: &mut Sim, index: usize| {
+        sim.submit(index % 3, &format!("small{index:011}"), "batch", vec![step(1, 2)]);
+        sim.run_for(60);
+    };
+    // Small jobs of the account ask for more than its limit all the time.
+    for index in 0..60 {
+        submit(&mut sim, index);
+    }
+    let mut gang = step(6, 2);
+    gang.gang = true;
+    sim.submit(0, "gang", "batch", vec![gang]);
+    for index in 60..160 {
+        submit(&mut sim, index);
+    }
+    assert_eq!(sim.stored_state("gang"), Some(JobState::Completed));
+    sim.run_for(20_000);
+    check(&sim);
+}
+
 /// Guards against a decider that is busy with calls in a large cell, and against one that makes
 /// none while it has no other host.
 #[test]
