--- a/crates/cell/src/decider/intake.rs
+++ b/crates/cell/src/decider/intake.rs
@@ -100,24 +100,25 @@
             self.reply_when_stored(context, id, origin);
             return;
         }
-        let verdict =
-            if context.ledger.ended.contains_key(id) { Verdict::Stored } else { Verdict::Unknown };
-        self.reply(context, origin, verdict);
+        if context.ledger.ended.contains_key(id) {
+            self.reply(context, origin, Verdict::Stored);
+        } else {
+            self.deny(origin);
+        }
+    }
+
+    /// Says that there is no such job, once an append has shown that no other host decides: it may
+    /// have taken the job.
+    fn deny(&mut self, origin: Origin) {
+        self.replies.push((origin, Verdict::Unknown));
     }
 
     /// Tells a job's state.
     pub fn on_show(&mut self, context: &mut Context<'_>, origin: Origin, id: &ids::JobId) {
-        let is_view_old = context.now > self.last_stored_at.saturating_add(LOG_PATIENCE);
-        let verdict = match self.shown_state(context.ledger, id) {
-            Some(state) => Verdict::State(state),
-            // Another host may decide by now, and have taken the job.
-            None if is_view_old => Verdict::Rejected {
-                reason: "the log is not available".to_owned(),
-                retry_after_ms: pier_core::clock::millis(context.options.retry_after),
-            },
-            None => Verdict::Unknown,
-        };
-        self.reply(context, origin, verdict);
+        match self.shown_state(context.ledger, id) {
+            Some(state) => self.reply(context, origin, Verdict::State(state)),
+            None => self.deny(origin),
+        }
     }
 
     /// Tells how many jobs of a queue have not begun.
--- a/crates/cell/src/decider/mod.rs
+++ b/crates/cell/src/decider/mod.rs
@@ -147,6 +147,11 @@
         self.token
     }
 
+    /// When an append was stored last.
+    pub fn last_stored_at(&self) -> time::Duration {
+        self.last_stored_at
+    }
+
     /// The verdicts on calls of this host.
     pub fn take_local_verdicts(&mut self) -> Vec<(ids::Ticket, Verdict)> {
         std::mem::take(&mut self.local_verdicts)
--- a/crates/cell/src/host/calls.rs
+++ b/crates/cell/src/host/calls.rs
@@ -23,12 +23,17 @@
             && self.is_fresh(now, self.operators.as_of(), self.options.key_freshness())
             && self.ledger.decider.is_some()
             && has_decider
-            && (self.is_observing || self.has_own_view(now))
+            && (self.is_observing || self.is_decider() || self.has_own_view(now))
     }
 
     /// Whether this host knows of all jobs that callers may know of.
     fn has_own_view(&self, now: time::Duration) -> bool {
-        self.is_decider() || self.is_fresh(now, self.cell.as_of(), VIEW_FRESHNESS)
+        let as_of = match &self.role {
+            // Another host may decide since then.
+            Role::Deciding(decider) => Some(decider.last_stored_at()),
+            _ => self.cell.as_of(),
+        };
+        self.is_fresh(now, as_of, VIEW_FRESHNESS)
     }
 
     fn is_fresh(
@@ -145,9 +150,6 @@
                 Wanted::Submit(sync::Arc::new(*spec))
             }
         };
-        if self.is_decider() && wanted.is_read() {
-            return Some(self.answer_read(now, &wanted));
-        }
         self.calls.add(now, ticket, wanted, call.patience, &self.options);
         None
     }
@@ -171,9 +173,10 @@
                     _ => self.ledger.state_of(id),
                 };
                 match state {
-                    Some(state) => Answer::State(state),
+                    // An old view tells nothing but what cannot change any more.
+                    Some(state) if has_own_view || state.is_final() => Answer::State(state),
                     None if has_own_view => Answer::NoJob,
-                    None => self.reject(now, "the view of the jobs is too old"),
+                    _ => self.reject(now, "the view of the jobs is too old"),
                 }
             }
             _ => self.reject(now, "the view of the jobs is too old"),
--- a/crates/cell/tests/cell_faults.rs
+++ b/crates/cell/tests/cell_faults.rs
@@ -262,6 +262,31 @@
     check(&sim);
 }
 
+/// Guards against a caller that is told that there is no such job, while its job runs: a decider
+/// that was replaced and does not know it yet has never heard of the job (Kuiseb, own day
+/// store-and-decider, seed 173352165450).
+#[test]
+fn a_replaced_decider_does_not_deny_a_job() {
+    let mut sim = Sim::new(16, 5, 8);
+    sim.run_for(2_000);
+    let old = sim.decider().expect("a decider");
+    let cut_off = (old + 1) % 5;
+    sim.hosts[old].is_cut_from_store = true;
+    sim.hosts[cut_off].is_cut_from_store = true;
+    sim.run_for(1_600);
+    sim.submit((old + 2) % 5, "job", "urgent", vec![step(1, 1)]);
+    sim.run_for(60);
+    assert!(sim.seen.accepted.contains("job"), "the new decider has taken it");
+    let answer = sim.cancel_for(cut_off, "job", "urgent", 300);
+    assert_ne!(answer, Some(pier_cell::effect::Answer::NoJob));
+    let shown = sim.show(cut_off, "job", "urgent");
+    assert_ne!(shown, Some(pier_cell::effect::Answer::NoJob));
+    sim.hosts[old].is_cut_from_store = false;
+    sim.hosts[cut_off].is_cut_from_store = false;
+    sim.run_for(10_000);
+    check(&sim);
+}
+
 /// Guards against calls that multiply between two hosts: each that reaches a host before it knows
 /// that it decides is sent back, and must not make its sender pass on all others at once.
 #[test]
--- a/crates/cell/tests/sim/mod.rs
+++ b/crates/cell/tests/sim/mod.rs
@@ -374,6 +374,20 @@
         self.send_event(host, 1, Event::Called { ticket, call: Box::new(call) });
     }
 
+    /// Cancels a job and returns what the caller hears within so long.
+    pub fn cancel_for(
+        &mut self,
+        host: usize,
+        id: &str,
+        queue: &str,
+        millis: u64,
+    ) -> Option<Answer> {
+        self.cancel(host, id, queue);
+        let ticket = self.next_ticket;
+        self.run_for(millis);
+        self.shown.remove(&ticket)
+    }
+
     /// The host that the newest claim in the log names.
     pub fn claimant(&self) -> Option<usize> {
         let claim = self.stored_ledger().decider?.claim;
