--- a/crates/cell/src/host/mod.rs
+++ b/crates/cell/src/host/mod.rs
@@ -7,7 +7,7 @@
 use pier_core::ids;
 
 use crate::callers::Calls;
-use crate::decider::{Context, Decider, Origin};
+use crate::decider::{Context, Decider};
 use crate::directory::Directory;
 use crate::effect::Effect;
 use crate::event::{Event, OperatorRecord, ReadAnswer, WorkerRecord};
@@ -20,6 +20,7 @@
 mod calls;
 mod claim;
 mod observe;
+mod peers;
 
 /// How long the decider's connection may be away before the host takes no new callers. A change of
 /// the decider is over by then.
@@ -28,9 +29,6 @@
 const CUT_OFF_AFTER: time::Duration = time::Duration::from_millis(2_000);
 /// How old the view of the jobs may be for the host to tell that a job does not exist.
 const VIEW_FRESHNESS: time::Duration = time::Duration::from_millis(2_500);
-/// The pause before calls are passed again to a host that does not know yet that it decides. Each
-/// such call is sent back, so without a pause they would multiply.
-const REPEAT_PAUSE: time::Duration = time::Duration::from_millis(40);
 /// The longest time between two looks at the clock.
 const LONGEST_SLEEP: time::Duration = time::Duration::from_millis(200);
 
@@ -394,98 +392,6 @@
         }
     }
 
-    fn on_peer(
-        &mut self,
-        now: time::Duration,
-        wall_ms: u64,
-        from: ids::HostId,
-        message: Message,
-        out: &mut Vec<Effect>,
-    ) {
-        match message {
-            Message::Alive => {}
-            Message::LogLost { token } => {
-                if self.decider_token() == Some(token) {
-                    self.log_lost = Some((token, now));
-                    self.cell.hasten(now);
-                }
-            }
-            Message::Hello(info) => {
-                let host = &info.host;
-                if self.wanted_connection.as_ref().is_some_and(|(decider, _)| decider == host) {
-                    tracing::info!(decider = %host, "connected to the decider");
-                    self.connected_to = Some(ids::HostId::clone(host));
-                }
-                self.with_decider(now, wall_ms, out, |decider, context| {
-                    decider.on_peer(context, &info);
-                });
-                self.peers.insert(ids::HostId::clone(&info.host), info);
-            }
-            Message::Verdict { ticket, token, verdict } => {
-                if let Some(answer) = self.calls.on_verdict(now, ticket, token, verdict) {
-                    out.push(Effect::Answer { ticket, answer });
-                }
-            }
-            Message::Call(call) => {
-                if self.is_decider() {
-                    tracing::info!(from = %from, token = call.target.token,
-                        "call of an earlier decider left out");
-                } else {
-                    out.push(Effect::Call(call));
-                }
-            }
-            Message::Reply(reply) => {
-                self.with_decider(now, wall_ms, out, |decider, context| {
-                    decider.on_reply(context, *reply);
-                });
-            }
-            Message::AskAdviser { question } => out.push(Effect::Advise(question)),
-            Message::NotDeciding { token } => {
-                if self.decider_token() == Some(token) {
-                    tracing::warn!(host = %from, token, "the host does not decide any more");
-                    self.deposed_token = token;
-                } else if self.connected_to.as_ref() == Some(&from) {
-                    // Its claim is in the log, and it has not heard of that yet.
-                    self.repeat_calls_at.get_or_insert(now.saturating_add(REPEAT_PAUSE));
-                }
-            }
-            Message::Submit { .. }
-            | Message::Cancel { .. }
-            | Message::Show { .. }
-            | Message::CountPending { .. }
-                if !self.is_decider() =>
-            {
-                let message = Message::NotDeciding { token: self.last_token };
-                out.push(Effect::Send { to: from, message });
-            }
-            Message::Submit { ticket, spec } => {
-                self.with_decider(now, wall_ms, out, |decider, context| {
-                    decider.on_submit(context, Origin::Remote(from, ticket), spec);
-                });
-            }
-            Message::Cancel { ticket, job } => {
-                self.with_decider(now, wall_ms, out, |decider, context| {
-                    decider.on_cancel(context, Origin::Remote(from, ticket), &job);
-                });
-            }
-            Message::Show { ticket, job } => {
-                self.with_decider(now, wall_ms, out, |decider, context| {
-                    decider.on_show(context, Origin::Remote(from, ticket), &job);
-                });
-            }
-            Message::CountPending { ticket, queue } => {
-                self.with_decider(now, wall_ms, out, |decider, context| {
-                    decider.on_count_pending(context, Origin::Remote(from, ticket), &queue);
-                });
-            }
-            Message::Advice { ticket, answer } => {
-                self.with_decider(now, wall_ms, out, |decider, context| {
-                    decider.on_advice(context, ticket, answer.as_ref());
-                });
-            }
-        }
-    }
-
     fn ticket(&mut self) -> ids::Ticket {
         self.next_ticket += 1;
         self.next_ticket
--- a/crates/cell/tests/cell_faults.rs
+++ b/crates/cell/tests/cell_faults.rs
@@ -8,7 +8,7 @@
 use pier_cell::options::Options;
 use rand::Rng;
 
-use sim::{Sim, step};
+use sim::{Sim, SimHost, step};
 
 /// The faults of hosts, store and workers, and those between hosts that make calls for the decider.
 const KINDS_OF_FAULTS: u32 = 10;
@@ -103,43 +103,35 @@
     first.map_or(u64::MAX, |start| start - at_ms)
 }
 
-/// Guards against a long time without starts when the store refuses only the decider: its own word
-/// for that is enough for the others.
-#[test]
-fn starts_go_on_at_once_when_the_store_refuses_the_decider() {
+/// Plays a trouble of the decider in ten cells, and checks that starts go on within so long.
+fn play_decider_trouble(bound_ms: u64, set: impl Fn(&mut SimHost, bool)) {
     for seed in 0..10 {
         let mut sim = Sim::new(seed, 5, 8);
         sim.run_for(2_000);
         let mut count = 0;
         load(&mut sim, 2, &mut count);
         let decider = sim.decider().expect("a decider");
-        sim.hosts[decider].is_refused_by_store = true;
+        set(&mut sim.hosts[decider], true);
         let at_ms = sim.now_ms;
         let after_ms = first_start_after(&mut sim, decider, at_ms);
-        assert!(after_ms <= 650, "seed {seed}: first start after {after_ms} ms");
-        sim.hosts[decider].is_refused_by_store = false;
+        assert!(after_ms <= bound_ms, "seed {seed}: first start after {after_ms} ms");
+        set(&mut sim.hosts[decider], false);
         sim.run_for(10_000);
         check(&sim);
     }
 }
 
+/// Guards against a long time without starts when the store refuses only the decider: its own word
+/// for that is enough for the others.
+#[test]
+fn starts_go_on_at_once_when_the_store_refuses_the_decider() {
+    play_decider_trouble(650, |host, is_on| host.is_refused_by_store = is_on);
+}
+
 /// Guards against a long time without starts when the store turns only the decider away.
 #[test]
 fn starts_go_on_within_two_seconds_when_the_decider_is_cut_from_the_store() {
-    for seed in 0..10 {
-        let mut sim = Sim::new(seed, 5, 8);
-        sim.run_for(2_000);
-        let mut count = 0;
-        load(&mut sim, 2, &mut count);
-        let decider = sim.decider().expect("a decider");
-        sim.hosts[decider].is_cut_from_store = true;
-        let at_ms = sim.now_ms;
-        let after_ms = first_start_after(&mut sim, decider, at_ms);
-        assert!(after_ms <= 2_000, "seed {seed}: first start after {after_ms} ms");
-        sim.hosts[decider].is_cut_from_store = false;
-        sim.run_for(10_000);
-        check(&sim);
-    }
+    play_decider_trouble(2_000, |host, is_on| host.is_cut_from_store = is_on);
 }
 
 /// Guards against a decider that freezes and wakes: what it had decided must neither be started
