--- a/crates/cell/src/host/mod.rs
+++ b/crates/cell/src/host/mod.rs
@@ -52,6 +52,7 @@
             host: ids::HostId::clone(&self.host),
             address: sync::Arc::clone(&self.address),
             incarnation: self.incarnation,
+            core_permille: self.core_permille,
             is_released,
         }
     }
@@ -94,7 +95,7 @@
     deciders: Follower<Record>,
     /// Whether the host leaves the cell's log to others.
     is_observing: bool,
-    /// Since when no decider is connected.
+    /// When a decider was last connected, or when the host started.
     alone_since: Option<time::Duration>,
     /// When the next announcement of this decider is due; none while one is under way.
     announce_at: Option<time::Duration>,
--- a/crates/cell/src/host/observe.rs
+++ b/crates/cell/src/host/observe.rs
@@ -3,7 +3,7 @@
 //! Answers a large cell with many small hosts: the log brings each of them all jobs of the cell, and
 //! folding it takes most of their processors and links. A host with less than the usual part of a
 //! core learns who decides from announcements, passes calls on, and follows the log only when no
-//! decider is found for a while, because then no larger host may be left.
+//! decider is found for a while or when a small host decides, because then no larger one may be left.
 
 use std::time;
 
@@ -27,14 +27,15 @@
     /// Follows the cell's log, or leaves that to larger hosts.
     pub(super) fn choose_what_to_follow(&mut self, now: time::Duration) {
         if self.has_decider() {
-            self.alone_since = None;
+            self.alone_since = Some(now);
         }
-        let alone_since = match self.has_decider() {
-            true => now,
-            false => *self.alone_since.get_or_insert(now),
-        };
-        let is_small = self.me.core_permille < USUAL_CORE_PERMILLE;
-        let is_observing = is_small
+        let alone_since = *self.alone_since.get_or_insert(now);
+        let is_small = |core_permille: u32| core_permille < USUAL_CORE_PERMILLE;
+        // A small host that decides tells that no larger one is there to follow the log.
+        let has_larger =
+            self.ledger.decider.as_ref().is_none_or(|placed| !is_small(placed.claim.core_permille));
+        let is_observing = is_small(self.me.core_permille)
+            && has_larger
             && matches!(self.role, Role::Following)
             && now < alone_since.saturating_add(OBSERVER_PATIENCE);
         if is_observing == self.is_observing {
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -34,6 +34,9 @@
     pub address: sync::Arc<str>,
     /// Its process.
     pub incarnation: ids::Incarnation,
+    /// The part of a processor core that it may use, in thousandths.
+    #[serde(default)]
+    pub core_permille: u32,
     /// The decider gives up its place and any host may claim it at once.
     pub is_released: bool,
 }
--- a/crates/cell/tests/cell_faults.rs
+++ b/crates/cell/tests/cell_faults.rs
@@ -561,6 +561,23 @@
     check(&sim);
 }
 
+/// Guards against a cell of small hosts only in which each waits for a larger one.
+#[test]
+fn a_cell_of_small_hosts_follows_its_log() {
+    let mut sim = with_small_hosts(24, 5, 0);
+    sim.run_for(5_000);
+    let mut count = 0;
+    load(&mut sim, 2, &mut count);
+    let decider = sim.decider().expect("a decider");
+    sim.kill_host(decider);
+    let at_ms = sim.now_ms;
+    let after_ms = first_start_after(&mut sim, decider, at_ms);
+    assert!(after_ms <= 2_000, "first start after {after_ms} ms");
+    sim.start_host(decider);
+    sim.run_for(10_000);
+    check(&sim);
+}
+
 /// Guards against work that is lost or doubled where half of the hosts do not follow the log.
 #[test]
 fn promises_hold_under_random_faults_with_small_hosts() {
