Confirm a repeated cancellation only when the job's end is stored

Change: a cancellation of a job that has ended waits for the append that holds the end, as submissions do.

The test fails on the earlier code.

--- a/crates/cell/src/decider/intake.rs
+++ b/crates/cell/src/decider/intake.rs
@@ -101,7 +101,8 @@
             return;
         }
         if context.ledger.ended.contains_key(id) {
-            self.reply(context, origin, Verdict::Stored);
+            // Its end may be in an append that is under way.
+            self.reply_when_stored(context, id, origin);
         } else {
             self.deny(origin);
         }
--- a/crates/cell/tests/decider.rs
+++ b/crates/cell/tests/decider.rs
@@ -601,6 +601,36 @@
     assert_eq!(bench.started, 1, "work starts again when the zone is back");
 }
 
+/// Guards against a cancellation that is confirmed before it is stored: the job's end is in an append
+/// that is under way, and a repeat of the call must wait for it as the first does (Kuiseb, own day
+/// store-and-decider, seed 423532204955).
+#[test]
+fn a_repeated_cancellation_is_confirmed_when_it_is_stored() {
+    let mut bench = Bench::new(queue(None));
+    bench.list(&["w0"]);
+    // The job waits.
+    bench.zones_out.insert("north".into());
+    bench.submit(tasks(1, false));
+    let effects = bench.advance(30);
+    bench.store(&effects);
+    let cancel = |bench: &mut Bench, ticket| {
+        bench.act(|decider, context| {
+            decider.on_cancel(context, Origin::Local(ticket), &"job".into())
+        });
+    };
+    let verdicts = |bench: &mut Bench| {
+        bench.decider.as_mut().expect("the bench has a decider").take_local_verdicts()
+    };
+    verdicts(&mut bench);
+    cancel(&mut bench, 2);
+    let under_way = bench.advance(30);
+    cancel(&mut bench, 3);
+    assert_eq!(verdicts(&mut bench), Vec::new(), "nothing is stored yet");
+    bench.store(&under_way);
+    let tickets: Vec<u64> = verdicts(&mut bench).iter().map(|(ticket, _)| *ticket).collect();
+    assert_eq!(tickets, vec![2, 3]);
+}
+
 /// Guards against a task that waits for a worker that answers and does nothing: it is stopped there
 /// and starts elsewhere.
 #[test]
