--- a/crates/cell/src/decider/ask.rs
+++ b/crates/cell/src/decider/ask.rs
@@ -5,7 +5,7 @@
 use pier_core::ids;
 use pier_core::resources::Resources;
 
-use crate::advice::{MOST_NAMED, Renewal};
+use crate::advice::{MOST_NAMED, Renewal, StepAdvice};
 use crate::decider::schedule::Candidate;
 use crate::decider::{Asked, Context, Decider};
 use crate::directory::{AdviceTerms, Queue};
@@ -65,13 +65,13 @@
         limit: &Resources,
         is_keeping: bool,
     ) {
-        for question in 0..most_questions(candidate.step(), candidate.waiting.len()) {
-            let under_way =
-                self.advice.get(&candidate.key()).map_or(0, |advice| advice.questions());
-            let may_ask =
-                self.advice.get(&candidate.key()).is_none_or(|advice| advice.may_ask(context.now));
-            if under_way > question || !may_ask {
-                continue;
+        let most = most_questions(candidate.step(), candidate.waiting.len());
+        loop {
+            let advice = self.advice.get(&candidate.key());
+            let under_way = advice.map_or(0, StepAdvice::questions);
+            let may_ask = advice.is_none_or(|advice| advice.may_ask(context.now));
+            if under_way >= most || !may_ask {
+                return;
             }
             let is_spare = self.asking.len() + SPARE_HOSTS <= self.peers.len();
             if under_way > 0 && !is_spare {
--- a/crates/cell/src/decider/schedule.rs
+++ b/crates/cell/src/decider/schedule.rs
@@ -22,7 +22,7 @@
 
 /// How long a step waits for a worker that is fast enough for it. After that any will do: it must
 /// not wait where there is room.
-const CHOOSY_FOR: time::Duration = time::Duration::from_millis(1_200);
+const FAST_WORKER_PATIENCE: time::Duration = time::Duration::from_millis(1_200);
 
 /// How long an account that uses less than half of its limit is held back for a gang of its own.
 const RESERVED_BELOW_HALF: time::Duration = time::Duration::from_millis(1_500);
@@ -124,7 +124,7 @@
         for candidate in candidates {
             let key = candidate.key();
             let since = before.get(&key).copied().unwrap_or(now);
-            if now >= since.saturating_add(CHOOSY_FOR) {
+            if now >= since.saturating_add(FAST_WORKER_PATIENCE) {
                 candidate.leeway.worst_slowness = f64::INFINITY;
                 candidate.leeway.split_slowness = 1.0;
             }
--- a/crates/cell/src/host/mod.rs
+++ b/crates/cell/src/host/mod.rs
@@ -96,7 +96,7 @@
     /// Whether the host leaves the cell's log to others.
     is_observing: bool,
     /// When a decider was last connected, or when the host started.
-    alone_since: Option<time::Duration>,
+    decider_seen_at: Option<time::Duration>,
     /// When the next announcement of this decider is due; none while one is under way.
     announce_at: Option<time::Duration>,
     /// The token of the decider that has said that it does not reach the log, and when it did last.
@@ -139,7 +139,7 @@
             missed_at: None,
             deciders: Follower::new(time::Duration::ZERO),
             is_observing: false,
-            alone_since: None,
+            decider_seen_at: None,
             announce_at: None,
             last_token: 0,
             is_ready: false,
--- a/crates/cell/src/host/observe.rs
+++ b/crates/cell/src/host/observe.rs
@@ -27,9 +27,9 @@
     /// Follows the cell's log, or leaves that to larger hosts.
     pub(super) fn choose_what_to_follow(&mut self, now: time::Duration) {
         if self.has_decider() {
-            self.alone_since = Some(now);
+            self.decider_seen_at = Some(now);
         }
-        let alone_since = *self.alone_since.get_or_insert(now);
+        let decider_seen_at = *self.decider_seen_at.get_or_insert(now);
         let is_small = |core_permille: u32| core_permille < USUAL_CORE_PERMILLE;
         // A small host that decides tells that no larger one is there to follow the log.
         let has_larger =
@@ -37,7 +37,7 @@
         let is_observing = is_small(self.me.core_permille)
             && has_larger
             && matches!(self.role, Role::Following)
-            && now < alone_since.saturating_add(OBSERVER_PATIENCE);
+            && now < decider_seen_at.saturating_add(OBSERVER_PATIENCE);
         if is_observing == self.is_observing {
             return;
         }
@@ -45,7 +45,7 @@
         tracing::info!(
             is_observing,
             core_permille = self.me.core_permille,
-            alone_ms = clock::millis(now.saturating_sub(alone_since)),
+            without_decider_ms = clock::millis(now.saturating_sub(decider_seen_at)),
             "what the host follows has changed"
         );
         let decider = self.ledger.decider.take();
