Keep one malformed or oversized input from stopping the cell

Looked for here, these could happen: a job id of more than 250 bytes made the encoder of the log panic, so that the decider waited for ever for its append; an id with a dot named no task, so that ends of its runs were ignored; a chain of long estimates overflowed in the ranking and ended each decider in turn; a job of 4,000 tasks, or many changed jobs after an outage, made a record or an append that the log refuses for ever; steps of a job from another host or the log were allocated without a limit; one unreadable item of a page failed the whole page; a run whose row in a worker's report was unreadable counted as gone and was started again; entries of other writers (nested, ports out of range, fields of another type) were taken for workers; a decider whose wall clock is ahead forgot all ended jobs at once, so that a repeated submission would run again. Ruled out: deep nesting and numbers of 400 digits end no decoder (serde_json limits both). Change: job ids, estimates, sizes of jobs, records and appends are bounded; appends that would be too long are split; items and rows are decoded one by one, and a report with an unreadable row does not make runs lost; worker entries must have every field in its type and an address that can be called; ended jobs are kept by the monotonic clock. The settings take the store's limits and the slowdown away from data. Conclusion: an odd input costs itself alone.

--- a/crates/cell/src/advice.rs
+++ b/crates/cell/src/advice.rs
@@ -118,7 +118,8 @@
         };
         for worker in workers {
             let is_expiring = self.eligible.get(worker).is_some_and(|ticket| {
-                ticket.valid_until <= now + MIN_TICKET_VALIDITY + remaining_validity
+                let expires_by = now.saturating_add(MIN_TICKET_VALIDITY);
+                ticket.valid_until <= expires_by.saturating_add(remaining_validity)
             });
             if is_expiring
                 && expiring.len() < MAX_WORKERS_PER_REQUEST
--- a/crates/cell/src/decider/append.rs
+++ b/crates/cell/src/decider/append.rs
@@ -20,6 +20,13 @@
 /// The maximum number of ended jobs that one append removes, so that appends stay small.
 const MAX_FORGOTTEN_JOBS: usize = 200;
 
+/// The maximum number of ended jobs that are retained, which bounds the memory after many changes of
+/// the decider.
+const MAX_ENDED_JOBS: usize = 50_000;
+/// The records of changed jobs fill this fraction of the longest append. The rest is for the last
+/// job, which may take two records of the greatest length, and for other records.
+const APPEND_FILL_DIVISOR: usize = 2;
+
 /// An append whose outcome is not known yet.
 #[derive(Debug)]
 pub(super) struct InFlightAppend {
@@ -72,23 +79,28 @@
         let sequence = self.ticket();
         let mut records =
             vec![Record::batch_header(&BatchHeader { incarnation: self.incarnation, sequence })];
-        let jobs = std::mem::take(&mut self.dirty);
-        let accepted = std::mem::take(&mut self.newly_accepted);
-        for id in &jobs {
-            self.push_job_records(context, id, accepted.contains(id), &mut records);
+        let jobs = self.push_changed_jobs(context, &mut records);
+        let starts = self.take_starts_of(&jobs);
+        let mut replies = Vec::new();
+        let mut ends = Vec::new();
+        let is_complete = self.dirty.is_empty();
+        if is_complete {
+            replies = std::mem::take(&mut self.pending_replies);
+            ends = std::mem::take(&mut self.pending_ends);
         }
         self.push_forgotten(context, &mut records);
-        if let Some(claim) = &self.release {
+        let release = self.release.as_ref().filter(|_| is_complete);
+        if let Some(claim) = release {
             records.push(Record::claim(claim));
         }
         let append = InFlightAppend {
             ticket: sequence,
             records: sync::Arc::new(records),
+            releases: release.is_some(),
             jobs,
-            replies: std::mem::take(&mut self.pending_replies),
-            starts: std::mem::take(&mut self.pending_starts),
-            ends: std::mem::take(&mut self.pending_ends),
-            releases: self.release.is_some(),
+            replies,
+            starts,
+            ends,
             may_be_stored: false,
             is_checking: false,
             has_failed: false,
@@ -100,6 +112,39 @@
         self.in_flight = Some(append);
     }
 
+    /// Adds the records of changed jobs and returns the jobs. Changes that would make the append
+    /// too long wait for the next one, and with them all replies and acknowledgements of run ends:
+    /// these do not name the jobs that they depend on.
+    fn push_changed_jobs(
+        &mut self,
+        context: &mut Context<'_>,
+        records: &mut Vec<Record>,
+    ) -> BTreeSet<ids::JobId> {
+        let max_bytes = context.options.max_append_bytes / APPEND_FILL_DIVISOR;
+        let mut jobs = BTreeSet::new();
+        let mut bytes = 0;
+        while bytes < max_bytes {
+            let Some(id) = self.dirty.pop_first() else {
+                break;
+            };
+            let is_new = self.newly_accepted.remove(&id);
+            let first = records.len();
+            self.push_job_records(context, &id, is_new, records);
+            for record in &records[first..] {
+                bytes += record.stored_bytes();
+            }
+            jobs.insert(id);
+        }
+        jobs
+    }
+
+    /// Takes the starts whose jobs are among those of an append.
+    fn take_starts_of(&mut self, jobs: &BTreeSet<ids::JobId>) -> Vec<TaskRef> {
+        let mut starts = std::mem::take(&mut self.pending_starts);
+        self.pending_starts = starts.extract_if(.., |task| !jobs.contains(&task.job)).collect();
+        starts
+    }
+
     fn push_job_records(
         &mut self,
         context: &mut Context<'_>,
@@ -127,7 +172,7 @@
         let ended =
             EndedJob { queue: ids::QueueId::clone(&queue), state, ended_wall_ms: context.wall_ms };
         context.cell_state.ended.insert(ids::JobId::clone(id), ended);
-        self.ended_order.push_back((context.wall_ms, ids::JobId::clone(id)));
+        self.ended_order.push_back((context.now, ids::JobId::clone(id)));
         let record = JobRecord::Ended { queue, state, ended_wall_ms: context.wall_ms };
         records.push(Record::job(id, Some(&record)));
         records.push(Record::progress(id, None));
@@ -140,12 +185,13 @@
     }
 
     fn push_forgotten(&mut self, context: &mut Context<'_>, records: &mut Vec<Record>) {
-        let remember_ms = pier_core::clock::millis(context.options.ended_job_retention);
+        let retention = context.options.ended_job_retention;
         for _ in 0..MAX_FORGOTTEN_JOBS {
-            let Some((ended_wall_ms, id)) = self.ended_order.front() else {
+            let Some((ended_at, id)) = self.ended_order.front() else {
                 return;
             };
-            if context.wall_ms < ended_wall_ms.saturating_add(remember_ms) {
+            let is_expired = context.now >= ended_at.saturating_add(retention);
+            if !is_expired && self.ended_order.len() <= MAX_ENDED_JOBS {
                 return;
             }
             context.cell_state.ended.remove(id);
--- a/crates/cell/src/decider/mod.rs
+++ b/crates/cell/src/decider/mod.rs
@@ -95,9 +95,10 @@
     dirty: BTreeSet<ids::JobId>,
     /// The `dirty` jobs that were just accepted.
     newly_accepted: BTreeSet<ids::JobId>,
-    /// Ended jobs with the times of their ends, in order of time. They are removed after the
-    /// retention time.
-    ended_order: VecDeque<(u64, ids::JobId)>,
+    /// Ended jobs in order of their ends, with the time from which their retention counts: that of
+    /// the end or, for ends under an earlier decider, that of the claim. The wall clock, which may
+    /// be wrong on a host, only determines the order.
+    ended_order: VecDeque<(time::Duration, ids::JobId)>,
     /// Responses, start requests and acknowledgements to send once the next append is stored.
     pending_replies: Vec<(RequestOrigin, RequestOutcome)>,
     pending_starts: Vec<TaskRef>,
--- a/crates/cell/src/decider/polls.rs
+++ b/crates/cell/src/decider/polls.rs
@@ -145,22 +145,25 @@
                         "worker does not respond");
                 }
             }
-            PollResponse::Report { clock_ms, incarnation, running, ended } => {
-                self.on_report(context, id, sent_at, clock_ms, incarnation, &running, &ended);
+            PollResponse::Report { clock_ms, incarnation, running, ended, is_incomplete } => {
+                self.on_report_header(context, id, clock_ms, incarnation);
+                self.on_listed_ends(context, id, &ended);
+                self.check_listed_runs(context, id, &running);
+                // A full report leaves out ends.
+                if !is_incomplete && ended.len() < MAX_LISTED_ENDS {
+                    self.check_missing_runs(context, id, sent_at, &running);
+                }
+                self.schedule_poll_of_unresolved_runs(context, id);
             }
         }
     }
 
-    #[expect(clippy::too_many_arguments, reason = "the fields of one report")]
-    fn on_report(
+    fn on_report_header(
         &mut self,
         context: &mut Context<'_>,
         id: &ids::WorkerId,
-        sent_at: time::Duration,
         clock_ms: u64,
         incarnation: Option<WorkerIncarnation>,
-        running: &[ListedRun],
-        ended: &[ListedEnd],
     ) {
         let is_other_incarnation = match (self.workers.get(id), incarnation) {
             (Some(worker), Some(incarnation)) => worker.info.incarnation != incarnation,
@@ -184,6 +187,17 @@
         worker.has_answered = true;
         worker.next_poll_at = context.now;
         worker.record_clock(context.now, clock_ms);
+    }
+
+    fn on_listed_ends(
+        &mut self,
+        context: &mut Context<'_>,
+        id: &ids::WorkerId,
+        ended: &[ListedEnd],
+    ) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
         let ends_received = worker.ends_received;
         let mut newest = ends_received;
         for end in ended {
@@ -193,10 +207,6 @@
             newest = newest.max(end.sequence);
             self.on_run_ended(context, id, end);
         }
-        self.check_listed_runs(context, id, running);
-        if ended.len() < MAX_LISTED_ENDS {
-            self.check_missing_runs(context, id, sent_at, running);
-        }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -204,6 +214,12 @@
         if newest > ends_received {
             self.pending_ends.push((ids::WorkerId::clone(id), worker.info.incarnation, newest));
         }
+    }
+
+    fn schedule_poll_of_unresolved_runs(&mut self, context: &Context<'_>, id: &ids::WorkerId) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
         if worker.runs.iter().any(|task| is_unresolved(self.runs.get(task))) {
             worker.next_poll_at = context.now.saturating_add(UNRESOLVED_RUN_POLL_INTERVAL);
         }
--- a/crates/cell/src/decider/requests.rs
+++ b/crates/cell/src/decider/requests.rs
@@ -8,7 +8,7 @@
 
 use crate::cell_state::{CellState, LiveJob};
 use crate::decider::{Context, Decider, RequestOrigin};
-use crate::job::{AccountId, JobSpec, JobState};
+use crate::job::{self, AccountId, JobSpec, JobState};
 use crate::peer::RequestOutcome;
 use crate::place;
 use crate::progress::Progress;
@@ -70,6 +70,10 @@
         context: &Context<'_>,
         spec: &JobSpec,
     ) -> Option<(&'static str, time::Duration)> {
+        // The host that took the submission has checked this.
+        if !job::is_valid_job_id(&spec.id) {
+            return Some(("the job id is not valid", context.options.retry_after));
+        }
         if context.now > self.last_stored_at.saturating_add(MAX_LOG_SILENCE) {
             return Some(("the log is not available", context.options.retry_after));
         }
--- a/crates/cell/src/decider/takeover.rs
+++ b/crates/cell/src/decider/takeover.rs
@@ -1,6 +1,6 @@
 //! Start of a new decider from the state in the log, before the workers have reported their runs.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync;
 use std::time;
 
@@ -32,6 +32,10 @@
             ended.push((job.ended_wall_ms, ids::JobId::clone(id)));
         }
         ended.sort();
+        let mut ended_order = VecDeque::with_capacity(ended.len());
+        for (_, id) in ended {
+            ended_order.push_back((context.now, id));
+        }
         let mut decider = Self {
             token,
             end,
@@ -46,7 +50,7 @@
             needs_scheduling: true,
             dirty: BTreeSet::new(),
             newly_accepted: BTreeSet::new(),
-            ended_order: ended.into(),
+            ended_order,
             pending_replies: Vec::new(),
             pending_starts: Vec::new(),
             pending_ends: Vec::new(),
--- a/crates/cell/src/effect.rs
+++ b/crates/cell/src/effect.rs
@@ -6,6 +6,7 @@
 use pier_core::ids;
 use serde::{Deserialize, Serialize};
 
+use crate::event::{PollResponse, StartResponse, WorkerReply, WorkerResponse};
 use crate::follower::{Read, Topic};
 use crate::job::{JobState, RunNumber, TaskRef};
 use crate::options::Options;
@@ -52,6 +53,30 @@
     pub operation: WorkerOperation,
 }
 
+impl WorkerCall {
+    /// The reply to a call whose outcome is unknown.
+    pub fn to_unanswered(&self) -> WorkerReply {
+        let response = match &self.operation {
+            WorkerOperation::Start(request) => WorkerResponse::Start {
+                task: request.task.clone(),
+                number: request.number,
+                response: StartResponse::NoAnswer,
+            },
+            WorkerOperation::Stop { task, number } => {
+                WorkerResponse::Stop { task: task.clone(), number: *number, is_acknowledged: false }
+            }
+            WorkerOperation::Poll { sent_at, .. } => {
+                WorkerResponse::Poll { sent_at: *sent_at, response: PollResponse::NoAnswer }
+            }
+        };
+        WorkerReply {
+            worker: ids::WorkerId::clone(&self.target.worker),
+            token: self.target.token,
+            response,
+        }
+    }
+}
+
 /// The operation that a worker call requests.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum WorkerOperation {
--- a/crates/cell/src/event.rs
+++ b/crates/cell/src/event.rs
@@ -187,6 +187,10 @@
         running: Vec<ListedRun>,
         /// The ended runs.
         ended: Vec<ListedEnd>,
+        /// Whether entries of the report could not be decoded, so that a run that it does not
+        /// contain may be alive.
+        #[serde(default)]
+        is_incomplete: bool,
     },
     /// The worker has received a higher fencing token, from a later decider.
     Fenced,
--- a/crates/cell/src/host/caller_requests.rs
+++ b/crates/cell/src/host/caller_requests.rs
@@ -10,7 +10,8 @@
 use crate::effect::{CallerResponse, Effect};
 use crate::event::{CallerRequest, Operation};
 use crate::host::{Host, ISOLATED_AFTER, MAX_STATE_AGE, READY_WHILE_DISCONNECTED, Role};
-use crate::job::{AccountId, JobState};
+use crate::job::{self, AccountId, JobState};
+use crate::record::Record;
 use crate::requests::DeciderRequest;
 
 impl Host {
@@ -146,6 +147,12 @@
                     "the path does not contain a job id".to_owned(),
                 ));
             }
+            Operation::Show | Operation::Cancel if !job::is_valid_job_id(id) => {
+                return Some(CallerResponse::UnknownJob);
+            }
+            Operation::Submit(_) if !job::is_valid_job_id(id) => {
+                return Some(CallerResponse::Invalid("the job id is not valid".to_owned()));
+            }
             Operation::Show => {
                 // A final state cannot change, so the decider is not needed.
                 if let Some(state) = self.known_final_state(id) {
@@ -161,7 +168,11 @@
                 spec.id = ids::JobId::from(id);
                 spec.queue = queue;
                 spec.account = account;
-                DeciderRequest::Submit(sync::Arc::new(*spec))
+                let spec = sync::Arc::new(*spec);
+                if !Record::fits_job(&spec, self.options.max_record_bytes) {
+                    return Some(CallerResponse::Invalid("the job is too large".to_owned()));
+                }
+                DeciderRequest::Submit(spec)
             }
         };
         self.requests.add(now, ticket, request, caller_request.timeout, &self.options);
--- a/crates/cell/src/host/peers.rs
+++ b/crates/cell/src/host/peers.rs
@@ -48,8 +48,10 @@
                 }
             }
             Message::Call(call) => {
-                if self.is_decider() {
-                    tracing::info!(from = %from, token = call.target.token,
+                let newest_token =
+                    self.cell_state.decider.as_ref().map_or(0, |logged| logged.token);
+                if self.is_decider() || call.target.token < newest_token {
+                    tracing::info!(from = %from, token = call.target.token, newest_token,
                         "ignored a worker call from an earlier decider");
                 } else {
                     effects.push(Effect::CallWorker(call));
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -5,10 +5,14 @@
 
 use pier_core::ids;
 use pier_core::resources::{self, Resources};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, de};
 
 /// The name of a client account.
 pub type AccountId = sync::Arc<str>;
+/// The longest job id in bytes. Log keys and task names contain the id.
+pub const MAX_JOB_ID_BYTES: usize = 64;
+/// The greatest number of tasks of a job. A host allocates memory for each.
+pub const MAX_TASKS_PER_JOB: usize = 4_096;
 /// A label of a worker.
 pub type Label = sync::Arc<str>;
 /// The index of a step in its job.
@@ -67,6 +71,13 @@
     }
 }
 
+/// Whether a job may have this id: one to [`MAX_JOB_ID_BYTES`] ASCII letters, digits, hyphens and
+/// underscores. Names of tasks are composed of the id and numbers that are separated by dots.
+pub fn is_valid_job_id(id: &str) -> bool {
+    let is_allowed = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_');
+    !id.is_empty() && id.len() <= MAX_JOB_ID_BYTES && id.bytes().all(is_allowed)
+}
+
 /// A job as it was submitted. It does not change once it is accepted.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobSpec {
@@ -79,9 +90,26 @@
     /// Opaque text that is passed unchanged to the worker with each task.
     pub payload: sync::Arc<str>,
     /// The steps in topological order: each comes after the steps that it depends on.
+    #[serde(deserialize_with = "checked_steps")]
     pub steps: Vec<Step>,
 }
 
+/// Decodes steps and checks their order and the number of their tasks.
+fn checked_steps<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<Step>, D::Error> {
+    let steps = Vec::<Step>::deserialize(deserializer)?;
+    let mut tasks: usize = 0;
+    for (index, step) in steps.iter().enumerate() {
+        tasks = tasks.saturating_add(step.tasks);
+        if step.after.iter().any(|before| *before >= index) {
+            return Err(de::Error::custom("a step may only depend on earlier steps"));
+        }
+    }
+    if tasks > MAX_TASKS_PER_JOB {
+        return Err(de::Error::custom("the job has too many tasks"));
+    }
+    Ok(steps)
+}
+
 impl JobSpec {
     /// The estimated run time of the longest chain of dependent steps.
     pub fn critical_path(&self) -> time::Duration {
--- a/crates/cell/src/options.rs
+++ b/crates/cell/src/options.rs
@@ -69,6 +69,10 @@
     pub retry_after: time::Duration,
     /// The greatest number of waiting jobs; further submissions are rejected.
     pub max_waiting_jobs: usize,
+    /// The longest record that the log takes.
+    pub max_record_bytes: usize,
+    /// The greatest total length of the records of one append.
+    pub max_append_bytes: usize,
     /// The greatest number of workers that the decider calls itself. In a larger cell the other
     /// hosts make its worker calls.
     pub max_direct_workers: usize,
@@ -108,6 +112,8 @@
             response_margin: millis(200),
             retry_after: millis(1_000),
             max_waiting_jobs: 2_000,
+            max_record_bytes: 262_144,
+            max_append_bytes: 2_097_152,
             max_direct_workers: 100,
             remote_slowdown: 3.0,
         }
--- a/crates/cell/src/progress.rs
+++ b/crates/cell/src/progress.rs
@@ -6,6 +6,21 @@
 use crate::job::{JobSpec, JobState, RunNumber, StepIndex, TaskIndex};
 use crate::worker::WorkerIncarnation;
 
+/// The longest id of a worker in bytes. Ids are printable ASCII without quotes.
+pub const MAX_WORKER_ID_BYTES: usize = 64;
+/// The longest checkpoint in bytes. Checkpoints are printable ASCII without quotes.
+pub const MAX_CHECKPOINT_BYTES: usize = 64;
+/// The longest stored row of a task: nine values with their separators, of which two are strings.
+const MAX_ROW_BYTES: usize = 80 + MAX_WORKER_ID_BYTES + MAX_CHECKPOINT_BYTES;
+/// The longest stored progress without its rows.
+const MAX_STORED_HEADER_BYTES: usize = 80;
+
+/// Whether a text can be kept as a checkpoint.
+pub fn is_valid_checkpoint(text: &str) -> bool {
+    let is_allowed = |byte: u8| (b' '..=b'~').contains(&byte) && byte != b'"' && byte != b'\\';
+    text.len() <= MAX_CHECKPOINT_BYTES && text.bytes().all(is_allowed)
+}
+
 /// The phase of a task.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub enum Phase {
@@ -112,6 +127,15 @@
             .is_some_and(|step| step.after.iter().all(|before| self.is_step_done(*before)))
     }
 
+    /// The longest that [`Progress::encode`] returns for the job at any time.
+    pub fn max_encoded_bytes(spec: &JobSpec) -> usize {
+        let mut tasks: usize = 0;
+        for step in &spec.steps {
+            tasks = tasks.saturating_add(step.tasks);
+        }
+        tasks.saturating_mul(MAX_ROW_BYTES).saturating_add(MAX_STORED_HEADER_BYTES)
+    }
+
     /// Serializes the progress for the log.
     pub fn encode(&self) -> Vec<u8> {
         let mut stored =
--- a/crates/cell/src/ranking.rs
+++ b/crates/cell/src/ranking.rs
@@ -13,6 +13,9 @@
 use crate::job::JobSpec;
 use crate::place::SpeedTolerance;
 
+/// The longest objective that is told apart. It keeps arithmetic on estimates, which callers choose
+/// freely, within the range of [`time::Duration`].
+const MAX_OBJECTIVE: time::Duration = time::Duration::from_secs(100 * 365 * 24 * 60 * 60);
 /// A result that takes longer than this multiple of the objective is worthless to the caller.
 const EXPIRED_AFTER_OBJECTIVES: u32 = 3;
 /// The part of the objective, in percent, that is set aside for the latency of requests and
@@ -122,7 +125,10 @@
     let scaled = time::Duration::try_from_secs_f64(scaled).unwrap_or(time::Duration::MAX);
     let advice = queue.advice.map_or(time::Duration::ZERO, |terms| terms.base);
     let steps = u32::try_from(spec.steps.len()).unwrap_or(u32::MAX);
-    scaled.saturating_add(queue.target_latency).saturating_add(advice.saturating_mul(steps))
+    scaled
+        .saturating_add(queue.target_latency)
+        .saturating_add(advice.saturating_mul(steps))
+        .min(MAX_OBJECTIVE)
 }
 
 /// A leaky bucket that measures an account's submissions against its share. The weight of the
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -136,6 +136,20 @@
         Self { key: format!("{JOB_PREFIX}{id}"), value: record.map(to_json) }
     }
 
+    /// Whether all records of the job are at most `max_bytes` long.
+    pub fn fits_job(spec: &sync::Arc<JobSpec>, max_bytes: usize) -> bool {
+        let accepted = JobRecord::Accepted { accepted_wall_ms: u64::MAX, spec: spec.clone() };
+        let longest = Self::job(&spec.id, Some(&accepted))
+            .stored_bytes()
+            .max(Progress::max_encoded_bytes(spec) + Self::progress(&spec.id, None).stored_bytes());
+        longest <= max_bytes
+    }
+
+    /// The length of the stored record: the key with its length, and the value.
+    pub fn stored_bytes(&self) -> usize {
+        1 + self.key.len() + self.value.as_ref().map_or(0, Vec::len)
+    }
+
     /// Creates the record of a job's progress; none removes it.
     pub fn progress(id: &str, progress: Option<&Progress>) -> Self {
         Self { key: format!("{PROGRESS_PREFIX}{id}"), value: progress.map(Progress::encode) }
--- a/crates/cell/tests/sim/mod.rs
+++ b/crates/cell/tests/sim/mod.rs
@@ -34,6 +34,8 @@
 
 /// The wall clock at the start of a simulation.
 const EPOCH_MS: u64 = 1_700_000_000_000;
+/// The longest key of a record: its length is stored in one byte.
+const MAX_KEY_BYTES: usize = 255;
 /// One-way network delays, in milliseconds.
 const NETWORK_DELAY_MS: std::ops::Range<u64> = 1..3;
 
@@ -506,6 +508,22 @@
         }
     }
 
+    fn check_sizes(&mut self, records: &[pier_cell::record::Record]) {
+        let mut bytes = 0;
+        for record in records {
+            bytes += 4 + record.stored_bytes();
+            let is_too_long = record.stored_bytes() > self.options.max_record_bytes;
+            if is_too_long || record.key.len() > MAX_KEY_BYTES {
+                self.observed
+                    .violations
+                    .push(format!("the record of {:.80} is too long", record.key));
+            }
+        }
+        if bytes > self.options.max_append_bytes {
+            self.observed.violations.push(format!("an append of {bytes} bytes"));
+        }
+    }
+
     fn perform(&mut self, host: usize, process_number: u64, effect: Effect) {
         if self.hosts[host].process_number != process_number {
             return;
@@ -523,6 +541,7 @@
                     self.send_event(host, after, Event::Appended { ticket, response });
                     return;
                 }
+                self.check_sizes(&records);
                 if records.iter().any(|record| record.key == "decider") {
                     self.observed.claims += 1;
                 }
--- a/crates/cell/tests/sim/worker.rs
+++ b/crates/cell/tests/sim/worker.rs
@@ -193,6 +193,7 @@
             });
         }
         PollResponse::Report {
+            is_incomplete: false,
             clock_ms: self.clock_ms(now_ms),
             incarnation: Some(self.incarnation),
             running,
