--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -10,6 +10,7 @@
 
 use pier_cell::event::Event;
 use pier_cell::peer::{Message, PeerInfo};
+use pier_core::clock::Clock;
 use pier_core::ids;
 use pier_core::map::Map;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
@@ -30,6 +31,9 @@
 /// The maximum number of messages in the send queue of a connection. When the queue is full, the
 /// connection is closed.
 const MAX_QUEUED_MESSAGES: usize = 4_096;
+/// The greatest age of a worker call at which it is passed on. A process that was paused drops the
+/// calls in its send queues, and closes connections on which older ones may have arrived meanwhile.
+const MAX_CALL_AGE: time::Duration = time::Duration::from_millis(1_000);
 /// The maximum number of connections with other hosts. Further ones are refused.
 const MAX_CONNECTIONS: usize = 256;
 
@@ -37,7 +41,13 @@
 
 struct Link {
     connection_id: u64,
-    queue: flume::Sender<Message>,
+    queue: flume::Sender<Queued>,
+}
+
+/// A message with the time at which it was queued.
+struct Queued {
+    at: time::Duration,
+    message: Message,
 }
 
 /// The connections of a host to other hosts. All of them are served by tasks of one thread.
@@ -48,16 +58,24 @@
 
 struct Shared {
     local: PeerInfo,
+    clock: sync::Arc<dyn Clock>,
     links: Links,
     inputs: flume::Sender<Input>,
     next_connection_id: RefCell<u64>,
 }
 
 impl Peers {
-    /// Accepts connections on `listener` and sends their events to `inputs`.
-    pub fn start(local: PeerInfo, listener: TcpListener, inputs: flume::Sender<Input>) -> Self {
+    /// Accepts connections on `listener` and sends their events to `inputs`. The clock must advance
+    /// while the process is paused.
+    pub fn start(
+        local: PeerInfo,
+        clock: sync::Arc<dyn Clock>,
+        listener: TcpListener,
+        inputs: flume::Sender<Input>,
+    ) -> Self {
         let shared = rc::Rc::new(Shared {
             local,
+            clock,
             links: Links::default(),
             inputs,
             next_connection_id: RefCell::new(0),
@@ -97,7 +115,8 @@
         let Some(link) = links.get(to) else {
             return;
         };
-        if link.queue.try_send(message).is_err() {
+        let queued = Queued { at: self.shared.clock.now(), message };
+        if link.queue.try_send(queued).is_err() {
             // The peer reads too slowly. The event tells those who wait for a response from it that
             // none will come.
             tracing::warn!(host = %to, "closing a connection: its send queue is full");
@@ -158,10 +177,11 @@
     let mut read = BufReader::new(read);
     let (queue, messages) = flume::bounded(MAX_QUEUED_MESSAGES);
     let hello = Message::Hello(shared.local.clone());
-    if queue.send(hello).is_err() {
+    if queue.send(Queued { at: shared.clock.now(), message: hello }).is_err() {
         return;
     }
-    let writer = task::spawn_local(write_messages(write, messages));
+    let writer =
+        task::spawn_local(write_messages(sync::Arc::clone(&shared.clock), write, messages));
     let info = match read_message(&mut read).await {
         Some(Message::Hello(info)) => info,
         _ => {
@@ -184,10 +204,19 @@
     let from = || ids::HostId::clone(&peer);
     let message = Message::Hello(info);
     send_input(&shared, Event::PeerMessage { from: from(), message });
+    let mut read_at = shared.clock.now();
     while let Some(message) = read_message(&mut read).await {
         if writer.is_finished() {
             break;
         }
+        // Keep-alive messages arrive more often than this unless the process was paused. The
+        // message may have arrived long ago.
+        let now = shared.clock.now();
+        if now > read_at.saturating_add(MAX_CALL_AGE) {
+            tracing::warn!(%peer, "closing a connection: it was not read for too long");
+            break;
+        }
+        read_at = now;
         if !matches!(message, Message::Alive) {
             send_input(&shared, Event::PeerMessage { from: from(), message });
         }
@@ -218,16 +247,28 @@
     tokio::time::timeout(INACTIVITY_TIMEOUT, read_frame).await.ok().flatten()
 }
 
-async fn write_messages(mut write: tcp::OwnedWriteHalf, messages: flume::Receiver<Message>) {
+async fn write_messages(
+    clock: sync::Arc<dyn Clock>,
+    mut write: tcp::OwnedWriteHalf,
+    messages: flume::Receiver<Queued>,
+) {
+    let push = |buffer: &mut Vec<u8>, queued: Queued| {
+        let is_call = matches!(queued.message, Message::Call(_));
+        if is_call && clock.now() > queued.at.saturating_add(MAX_CALL_AGE) {
+            tracing::warn!("dropped a worker call that was queued for too long");
+            return;
+        }
+        push_frame(buffer, &queued.message);
+    };
     loop {
         let mut buffer = Vec::new();
         match tokio::time::timeout(KEEP_ALIVE_INTERVAL, messages.recv_async()).await {
-            Ok(Ok(message)) => push_frame(&mut buffer, &message),
+            Ok(Ok(queued)) => push(&mut buffer, queued),
             Ok(Err(flume::RecvError::Disconnected)) => return,
             Err(_) => push_frame(&mut buffer, &Message::Alive),
         }
-        for message in messages.try_iter() {
-            push_frame(&mut buffer, &message);
+        for queued in messages.try_iter() {
+            push(&mut buffer, queued);
         }
         match tokio::time::timeout(INACTIVITY_TIMEOUT, write.write_all(&buffer)).await {
             Ok(Ok(())) => {}
