Resume at once when an outage of the log ends

The store was silent from 18.0 to 22.2 s. Reads that were sent shortly before it came back were waited for up to 2.5 s, so that hosts rejected callers as outdated until 23.75 s; and when the first reads succeeded, other hosts claimed the role at once because of the decider's report, although it had stored an append 0.5 s before. The new decider had no tickets and no polled workers, and the quick jobs of the first second were placed too late. Change: after a failed call, reads do not wait for records and calls of the log have 0.7 s; new records of the log withdraw the decider's report; hosts count the silence of the log from when their own reads succeed again, and for 0.9 s the report does not count. Test: the_cell_resumes_soon_after_an_outage_of_the_log failed on the code before (the decider was replaced). a_replaced_decider_does_not_report_a_job_as_unknown now waits until the caller's time is up before it heals the store: its host reaches the log sooner now and forwards the cancellation, which is then rightly carried out; all its assertions stay.

--- a/crates/cell/src/decider/append.rs
+++ b/crates/cell/src/decider/append.rs
@@ -308,6 +308,6 @@
         ticket: append.ticket,
         at,
         records: sync::Arc::clone(&append.records),
-        timeout: options.log_timeout,
+        timeout: if append.has_failed { options.log_probe_timeout } else { options.log_timeout },
     }
 }
--- a/crates/cell/src/follower.rs
+++ b/crates/cell/src/follower.rs
@@ -105,6 +105,8 @@
     next_at: time::Duration,
     as_of: Option<time::Duration>,
     is_failing: bool,
+    /// When the first read after a failed one that succeeded was requested.
+    recovered_at: Option<time::Duration>,
 }
 
 impl<T> Follower<T> {
@@ -118,6 +120,7 @@
             next_at: time::Duration::ZERO,
             as_of: None,
             is_failing: false,
+            recovered_at: None,
         }
     }
 
@@ -139,6 +142,11 @@
         self.is_failing
     }
 
+    /// When reads last began to succeed again after a failed one.
+    pub fn recovered_at(&self) -> Option<time::Duration> {
+        self.recovered_at
+    }
+
     /// The latest time at which the follower is known to have had all records of the log.
     pub fn as_of(&self) -> Option<time::Duration> {
         self.as_of
@@ -163,13 +171,19 @@
             return None;
         }
         self.requested_at = Some(now);
-        self.read_wait = options.read_wait;
+        self.read_wait = if self.is_failing { time::Duration::ZERO } else { options.read_wait };
         Some(match &self.phase {
             Phase::Newest { after, .. } => Read::Newest { after: after.clone() },
-            Phase::Tail { next } => Read::From { offset: *next, wait: options.read_wait },
+            Phase::Tail { next } => Read::From { offset: *next, wait: self.read_wait },
         })
     }
 
+    /// The response timeout of the read in progress, not counting the time for which the log may
+    /// wait for records.
+    pub fn read_timeout(&self, options: &Options) -> time::Duration {
+        if self.is_failing { options.log_probe_timeout } else { options.log_timeout }
+    }
+
     /// Handles a page of the newest records.
     pub fn on_page(&mut self, topic: Topic, page: Page<T>) -> Option<FollowerUpdate<T>> {
         let requested_at = self.finish_read(topic)?;
@@ -258,6 +272,7 @@
     fn finish_read(&mut self, topic: Topic) -> Option<time::Duration> {
         if std::mem::take(&mut self.is_failing) {
             tracing::info!(%topic, "reading from the log works again");
+            self.recovered_at = self.requested_at;
         }
         self.requested_at.take()
     }
--- a/crates/cell/src/host/claim.rs
+++ b/crates/cell/src/host/claim.rs
@@ -54,8 +54,16 @@
         if logged.claim.host == self.identity.host {
             return time::Duration::ZERO;
         }
-        // The decider's report counts only on a host that can reach the log.
-        if !self.cell.is_failing() && self.has_decider_reported_log_unreachable(now) {
+        // The decider's report counts only on a host that can reach the log. After an outage for all
+        // hosts, the decider gets the time to reach it again.
+        let recovery_ends_at = self
+            .cell
+            .recovered_at()
+            .map_or(now, |at| at.saturating_add(self.options.log_recovery_time));
+        if !self.cell.is_failing()
+            && now >= recovery_ends_at
+            && self.has_decider_reported_log_unreachable(now)
+        {
             return delay;
         }
         if self.connected_to.as_ref() == Some(&logged.claim.host) {
@@ -110,7 +118,9 @@
             return;
         }
         let timeout = self.claim_timeout(now);
-        let is_silent = now >= self.last_record_at.saturating_add(timeout);
+        // Nobody could append while the log was unavailable.
+        let silent_since = self.last_record_at.max(self.cell.recovered_at().unwrap_or_default());
+        let is_silent = now >= silent_since.saturating_add(timeout);
         if !is_silent
             || now > as_of.saturating_add(MAX_CLAIM_VIEW_AGE.max(self.options.read_wait * 2))
         {
--- a/crates/cell/src/host/mod.rs
+++ b/crates/cell/src/host/mod.rs
@@ -294,22 +294,25 @@
         self.update_observing(now);
         self.claim_if_due(now, effects);
         self.with_decider(now, wall_ms, effects, |decider, context| decider.advance(context));
-        let timeout = self.options.log_timeout;
         if let Some(read) = self.operators.poll(now, &self.options) {
+            let timeout = self.operators.read_timeout(&self.options);
             effects.push(Effect::Read { topic: Topic::Operators, read, timeout });
         }
         if self.is_decider() {
             if let Some(read) = self.workers.poll(now, &self.options) {
+                let timeout = self.workers.read_timeout(&self.options);
                 effects.push(Effect::Read { topic: Topic::Workers, read, timeout });
             }
             self.announce(now, effects);
         } else if self.is_observing {
             if let Some(read) = self.deciders.poll(now, &self.options) {
+                let timeout = self.deciders.read_timeout(&self.options);
                 effects.push(Effect::Read { topic: Topic::Deciders, read, timeout });
             }
         } else {
             self.cell.set_interval(self.follow_interval(now));
             if let Some(read) = self.cell.poll(now, &self.options) {
+                let timeout = self.cell.read_timeout(&self.options);
                 effects.push(Effect::Read { topic: Topic::Cell, read, timeout });
             }
         }
@@ -361,6 +364,8 @@
         }
         if !update.records.is_empty() {
             self.last_record_at = now;
+            // The decider reaches the log again. Otherwise it repeats its report.
+            self.log_unreachable = None;
         }
         for (offset, record) in &update.records {
             self.cell_state.apply(*offset, record);
--- a/crates/cell/src/options.rs
+++ b/crates/cell/src/options.rs
@@ -27,6 +27,11 @@
     pub read_wait: time::Duration,
     /// The response timeout of a call to the log.
     pub log_timeout: time::Duration,
+    /// The response timeout of a call to the log after one that failed. During an outage calls get no
+    /// response even when it has ended meanwhile, so that long timeouts would prolong it.
+    pub log_probe_timeout: time::Duration,
+    /// The time in which every host notices that an outage of the log has ended.
+    pub log_recovery_time: time::Duration,
     /// The delay before a failed call to the log is retried.
     pub log_retry_delay: time::Duration,
     /// The shortest time between two appends. Changes within this time share an append.
@@ -94,6 +99,8 @@
             worker_list_interval: millis(200),
             read_wait: millis(1_000),
             log_timeout: millis(1_500),
+            log_probe_timeout: millis(700),
+            log_recovery_time: millis(900),
             log_retry_delay: millis(100),
             min_append_interval: millis(25),
             heartbeat_interval: millis(300),
--- a/crates/cell/tests/cell_faults.rs
+++ b/crates/cell/tests/cell_faults.rs
@@ -277,6 +277,8 @@
     assert_ne!(response, Some(pier_cell::effect::CallerResponse::UnknownJob));
     let shown = sim.show(isolated, "job", "urgent");
     assert_ne!(shown, Some(pier_cell::effect::CallerResponse::UnknownJob));
+    // The cancellation would be carried out if its host could forward it within the caller's time.
+    sim.run_for(3_000);
     sim.hosts[old].is_store_unreachable = false;
     sim.hosts[isolated].is_store_unreachable = false;
     sim.run_for(10_000);
@@ -674,3 +676,29 @@
         sim.revive_worker(&id);
     }
 }
+
+/// Guards against an outage of the log that lasts longer for the cell than for the log: calls that
+/// got no response were waited for, and the decider was replaced although it had just reached the
+/// log again (seen in the scenario trouble-3 of the large Hladik site).
+#[test]
+fn the_cell_resumes_soon_after_an_outage_of_the_log() {
+    for seed in 0..10 {
+        let mut sim = Sim::new(seed, 5, 8);
+        sim.run_for(3_000);
+        let decider = sim.decider().expect("a decider");
+        sim.is_store_down = true;
+        sim.run_for(4_000 + seed * 130);
+        sim.is_store_down = false;
+        let up_at_ms = sim.now_ms;
+        sim.run_for(1_000);
+        for host in 0..5 {
+            sim.submit(host, &format!("job{host}"), "urgent", vec![step(1, 1)]);
+        }
+        sim.run_for(200);
+        assert_eq!(sim.observed.accepted.len(), 5, "seed {seed}: {:?}", sim.observed.responses);
+        assert!(sim.observed.start_times_ms.iter().any(|at| *at > up_at_ms), "seed {seed}");
+        assert_eq!(sim.decider(), Some(decider), "seed {seed}: the decider stays");
+        sim.run_for(5_000);
+        check_invariants(&sim);
+    }
+}
