Test silent workers and what is withdrawn before a restart

Cause: operators of similar systems reported work that was started again because its machine was only silent, and keys, servers or jobs that were in use again after a restart. Change: four tests in simulated cells: all workers out of reach for 3 s, workers that stay away, entries that lapse during an outage of the store, and a restart of all hosts with trimmed history and a store that gives no answer at first, after a key, a queue, a zone, a worker and a job were withdrawn.

--- /dev/null
+++ b/crates/cell/tests/silence_and_restart.rs
@@ -0,0 +1,159 @@
+//! Workers that are silent for a while, and what operators and workers withdrew before all hosts
+//! restart.
+
+mod sim;
+
+use pier_cell::effect::CallerResponse;
+use pier_cell::event::OperatorRecord;
+use pier_cell::job::JobState;
+use sim::{Sim, step};
+
+/// A cell that runs 16 tasks of a job for ten seconds each.
+fn cell_with_long_runs(seed: u64) -> Sim {
+    let mut sim = Sim::new(seed, 4, 8);
+    sim.run_ms = 10_000;
+    sim.run_for(2_000);
+    sim.submit(0, "job", "batch", vec![step(16, 8)]);
+    sim.run_for(500);
+    assert_eq!(sim.observed.starts, 16);
+    sim
+}
+
+fn worker_ids() -> Vec<String> {
+    (0..8).map(|index| format!("w{index}")).collect()
+}
+
+/// Guards against runs that are started again, or given up, because their workers cannot be
+/// reached for less than a lease.
+#[test]
+fn runs_of_silent_workers_are_not_started_again() {
+    for seed in 0..5 {
+        let mut sim = cell_with_long_runs(seed);
+        sim.unreachable_workers.extend(worker_ids());
+        sim.run_for(3_000);
+        sim.unreachable_workers.clear();
+        sim.run_for(1_000);
+        assert_eq!(sim.observed.starts, 16, "seed {seed}: no run is started again");
+        sim.run_for(25_000);
+        assert_eq!(sim.stored_state("job"), Some(JobState::Completed), "seed {seed}");
+        assert_eq!(sim.observed.violations, Vec::<String>::new());
+    }
+}
+
+/// Guards against a second run while the first is alive: a worker that stays silent keeps its runs
+/// until its leases have ended by its own clock.
+#[test]
+fn runs_of_lost_workers_are_started_again_after_their_leases() {
+    for seed in 0..5 {
+        let mut sim = cell_with_long_runs(seed);
+        sim.unreachable_workers.extend(worker_ids().into_iter().take(4));
+        sim.run_for(40_000);
+        assert!(sim.observed.starts > 16, "seed {seed}: the runs are started elsewhere");
+        assert_eq!(sim.observed.violations, Vec::<String>::new(), "seed {seed}");
+        assert_eq!(sim.stored_state("job"), Some(JobState::Completed), "seed {seed}");
+    }
+}
+
+/// Guards against runs that are lost because entries of workers lapse while the store is away, and
+/// come back when it does. The workers themselves run on.
+#[test]
+fn runs_of_workers_whose_entries_lapse_are_not_started_again() {
+    for seed in 0..5 {
+        let mut sim = cell_with_long_runs(seed);
+        let entries: Vec<_> = worker_ids()
+            .into_iter()
+            .map(|id| {
+                let page =
+                    sim.worker_list.page(None, |key, entry| (key.to_owned(), entry.cloned()));
+                let found = page.items.into_iter().find(|(_, (key, _))| *key == id);
+                found.expect("a worker").1
+            })
+            .collect();
+        sim.is_store_down = true;
+        for (id, _) in &entries {
+            sim.worker_list.push(id, None);
+        }
+        sim.run_for(3_000);
+        sim.is_store_down = false;
+        sim.run_for(2_000);
+        for (id, entry) in entries {
+            sim.worker_list.push(&id, entry);
+        }
+        sim.run_for(1_000);
+        assert_eq!(sim.observed.starts, 16, "seed {seed}: no run is started again");
+        sim.run_for(25_000);
+        assert_eq!(sim.stored_state("job"), Some(JobState::Completed), "seed {seed}");
+        assert_eq!(sim.observed.violations, Vec::<String>::new());
+    }
+}
+
+/// Guards against a withdrawn key, a removed queue, an evacuated zone, a worker that has left or a
+/// cancelled job that is in use again after all hosts have restarted. The store has no history any
+/// more, only the newest records, and gives no answer at first.
+#[test]
+fn what_was_withdrawn_stays_so_after_a_restart_of_all_hosts() {
+    for seed in 0..5 {
+        let mut sim = Sim::new(seed, 4, 8);
+        sim.run_for(2_000);
+        sim.run_ms = 4_000;
+        sim.submit(0, "cancelled", "batch", vec![step(1, 1); 3]);
+        sim.run_for(300);
+        let cancelled = sim.cancel_for(0, "cancelled", "batch", 300);
+        assert_eq!(cancelled, Some(CallerResponse::Cancelled));
+        let mut declaration = sim.declaration.clone();
+        let mut accounts = declaration.accounts.clone();
+        accounts[0].keys = vec!["new key".into()];
+        declaration.queues.retain(|queue| &*queue.name != "batch");
+        declaration = pier_cell::declaration::Declaration::new(
+            2,
+            declaration.queues,
+            accounts,
+            declaration.max_body_bytes,
+        );
+        sim.declare(declaration);
+        let north = OperatorRecord::ZoneEvacuation { zone: "north".into(), is_evacuated: true };
+        sim.operators.push("evacuate/north", Some(north));
+        sim.worker_list.push("w1", None);
+        sim.run_for(1_000);
+        for host in 0..4 {
+            sim.kill_host(host);
+        }
+        sim.operators.trim();
+        sim.worker_list.trim();
+        sim.cell.trim();
+        sim.is_store_down = true;
+        for host in 0..4 {
+            sim.start_host(host);
+        }
+        let starts_before = sim.observed.starts;
+        for moment in 0..30 {
+            sim.is_store_down = moment < 5;
+            // The simulation's callers use the withdrawn key.
+            sim.submit(moment % 4, &format!("late{moment}"), "urgent", vec![step(1, 1)]);
+            sim.run_for(200);
+        }
+        assert_eq!(sim.observed.starts, starts_before, "seed {seed}: nothing is started");
+        for moment in 10..30 {
+            let response = &sim.observed.responses[&format!("late{moment}")];
+            assert_eq!(*response, CallerResponse::UnknownKey, "seed {seed}");
+        }
+        assert_eq!(sim.stored_state("cancelled"), Some(JobState::Cancelled), "seed {seed}");
+        // With a valid key, work goes to the workers that are left.
+        let mut accounts = sim.declaration.accounts.clone();
+        accounts[0].keys = vec!["key".into()];
+        let queues = sim.declaration.queues.clone();
+        sim.declare(pier_cell::declaration::Declaration::new(3, queues, accounts, 100_000));
+        sim.run_for(1_000);
+        sim.submit(0, "valid", "urgent", vec![step(20, 1)]);
+        sim.submit(0, "removed", "batch", vec![step(1, 1)]);
+        sim.run_for(600);
+        assert!(sim.observed.accepted.contains("valid"), "seed {seed}");
+        assert_eq!(sim.observed.responses["removed"], CallerResponse::UnknownQueue);
+        assert!(sim.observed.starts > starts_before, "seed {seed}");
+        for worker in sim.workers.values() {
+            let is_withdrawn = worker.zone == "north" || worker.id == "w1";
+            assert!(!is_withdrawn || worker.running.is_empty(), "seed {seed}: {}", worker.id);
+        }
+        assert_eq!(sim.observed.violations, Vec::<String>::new());
+    }
+}
