Clone a shared job explicitly

Cause: the house style names the type of a shared pointer when it is cloned. Change: sync::Arc::clone in Record::fits_job. Measured: builds; no behaviour changes.

--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -138,7 +138,8 @@
 
     /// Whether all records of the job are at most `max_bytes` long.
     pub fn fits_job(spec: &sync::Arc<JobSpec>, max_bytes: usize) -> bool {
-        let accepted = JobRecord::Accepted { accepted_wall_ms: u64::MAX, spec: spec.clone() };
+        let accepted =
+            JobRecord::Accepted { accepted_wall_ms: u64::MAX, spec: sync::Arc::clone(spec) };
         let longest = Self::job(&spec.id, Some(&accepted))
             .stored_bytes()
             .max(Progress::max_encoded_bytes(spec) + Self::progress(&spec.id, None).stored_bytes());
