Let only the worker itself end its incarnation

Cause: each record of the worker list with another incarnation than the known one ended the known one and started its confirmed runs elsewhere. A record may be older than the worker's last report, when the connection that reads the list went silent, or come from another writer: one without `born` counted as incarnation 0. Ruled out: a lost lease (no failed poll) and a second decider (one token). Change: with runs on the worker a record only puts the incarnation in doubt: the worker is polled at once, gets no work and acknowledges no ends until it has reported. The same on related paths: a report that arrives after a later one and the failure of a replaced poll are ignored. Conclusion: runs end by the worker's report or by the end of their leases, whatever the list says.

--- a/crates/cell/src/decider/polls.rs
+++ b/crates/cell/src/decider/polls.rs
@@ -99,9 +99,12 @@
         worker.last_poll_at = context.now;
         let operation = WorkerOperation::Poll {
             sent_at: context.now,
-            // After a failed poll another incarnation with its own sequence of run ends may
-            // respond.
-            ends_stored: if worker.failed_polls == 0 { worker.ends_stored } else { 0 },
+            // Another incarnation with its own sequence of run ends may respond.
+            ends_stored: if worker.has_answered && worker.failed_polls == 0 {
+                worker.ends_stored
+            } else {
+                0
+            },
             lease_until_ms,
             wait_ms: pier_core::clock::millis(wait),
         };
@@ -125,13 +128,19 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        if worker.poll_sent_at == Some(sent_at) {
+        let is_current = worker.poll_sent_at == Some(sent_at);
+        if is_current {
             worker.poll_sent_at = None;
         }
         match response {
+            PollResponse::Report { .. } if worker.last_report_of.is_some_and(|of| of > sent_at) => {
+                tracing::info!(worker = %id, "ignored a report that arrived after a later one");
+            }
             PollResponse::Fenced => {
                 self.deposed = Some("a later decider has contacted a worker");
             }
+            // The poll was counted as failed when it became overdue, or was replaced.
+            PollResponse::NoAnswer if !is_current => {}
             PollResponse::NoAnswer => {
                 worker.failed_polls = worker.failed_polls.saturating_add(1);
                 if worker.relay.take().is_some() {
@@ -146,6 +155,7 @@
                 }
             }
             PollResponse::Report { clock_ms, incarnation, running, ended, is_incomplete } => {
+                worker.last_report_of = Some(sent_at);
                 self.on_report_header(context, id, clock_ms, incarnation);
                 self.on_listed_ends(context, id, &ended);
                 self.check_listed_runs(context, id, &running);
--- a/crates/cell/src/decider/takeover.rs
+++ b/crates/cell/src/decider/takeover.rs
@@ -189,22 +189,29 @@
             self.workers.insert(record.id, Worker::new(info, true, leases_end_at));
             return;
         };
+        worker.is_listed = true;
+        if worker.info.incarnation != info.incarnation && !worker.runs.is_empty() {
+            tracing::info!(worker = %record.id, life = worker.info.incarnation,
+                listed = info.incarnation, runs = worker.runs.len(),
+                "worker list names another incarnation; polling the worker");
+            worker.doubt_incarnation(info);
+            return;
+        }
         if worker.info.incarnation != info.incarnation {
             self.end_incarnation(context, &record.id, info.incarnation);
             if let Some(worker) = self.workers.get_mut(&record.id) {
                 worker.begin_incarnation(info);
-                worker.is_listed = true;
             }
             return;
         }
         if info.is_draining && !worker.info.is_draining {
             tracing::info!(worker = %record.id, remaining = ?info.remaining, "worker is draining");
         }
-        worker.is_listed = true;
         worker.info = info;
     }
 
-    /// Handles a new incarnation of a worker. Runs that were confirmed in the earlier one are lost
+    /// Handles a new incarnation of a worker, of which a report or, without runs, the worker list
+    /// has told. Runs that were confirmed in the earlier one are lost
     /// with it. For the others, a poll of the new one shows whether they are alive.
     pub(super) fn end_incarnation(
         &mut self,
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -63,10 +63,12 @@
     pub poll_sent_at: Option<time::Duration>,
     /// When the last poll was sent.
     pub last_poll_at: time::Duration,
+    /// When the poll was sent whose report was handled last.
+    pub last_report_of: Option<time::Duration>,
     /// The earliest time for the next poll.
     pub next_poll_at: time::Duration,
-    /// Whether the worker has responded to this decider. From then on it rejects requests of all
-    /// earlier deciders.
+    /// Whether the known incarnation of the worker has responded to this decider. From then on it
+    /// rejects requests of all earlier deciders. False as well while the incarnation is in doubt.
     pub has_answered: bool,
     /// The sequence number of the last run end that is stored in the log.
     pub ends_stored: u64,
@@ -97,6 +99,7 @@
             runs: BTreeSet::new(),
             poll_sent_at: None,
             last_poll_at: time::Duration::ZERO,
+            last_report_of: None,
             next_poll_at: time::Duration::ZERO,
             has_answered: false,
             ends_stored: 0,
@@ -174,11 +177,26 @@
         self.last_failure_at = now;
     }
 
+    /// Takes over a description from the worker list that names another incarnation than the known
+    /// one, while there are runs. The record may be old or from another writer, so that only the
+    /// worker itself can tell which incarnation it is in: it gets no work until it has reported.
+    pub fn doubt_incarnation(&mut self, info: WorkerInfo) {
+        let is_later = info.incarnation > self.info.incarnation;
+        if is_later || self.info.address.is_empty() {
+            self.info = WorkerInfo { incarnation: self.info.incarnation, ..info };
+        }
+        self.has_answered = false;
+        // A poll that was sent before may have gone to an incarnation that has ended.
+        self.poll_sent_at = None;
+        self.next_poll_at = time::Duration::ZERO;
+    }
+
     /// Resets the view for a new incarnation of the worker. Whatever ran in the previous one is
     /// gone.
     pub fn begin_incarnation(&mut self, info: WorkerInfo) {
         self.info = info;
         self.has_answered = false;
+        self.poll_sent_at = None;
         self.ends_stored = 0;
         self.ends_received = 0;
         self.failed_polls = 0;
--- /dev/null
+++ b/crates/cell/tests/worker_incarnations.rs
@@ -0,0 +1,184 @@
+//! Tests of what tells the decider that a worker has restarted under its id: records of the worker
+//! list, which may be old or from another writer, and the worker's own reports.
+
+mod fixture;
+
+use std::time;
+
+use pier_cell::effect::{Effect, WorkerOperation};
+use pier_cell::event::{ListedRun, PollResponse, StartResponse, WorkerRecord};
+use pier_cell::follower::FollowerUpdate;
+use pier_cell::job::TaskRef;
+use pier_cell::worker::WorkerIncarnation;
+
+use fixture::{Fixture, queue, record, single_step, worker_call};
+
+/// The incarnation in the records and reports of the fixture.
+const KNOWN: WorkerIncarnation = 1;
+
+/// A decider with one run on the worker `w0`, which has confirmed it in a report.
+fn fixture_with_confirmed_run() -> (Fixture, TaskRef) {
+    let mut fixture = Fixture::new(queue(None));
+    fixture.list_workers(&["w0"]);
+    let task = fixture.submit(single_step(1, false));
+    let effects = fixture.advance(30);
+    fixture.complete_appends(&effects);
+    assert_eq!(fixture.start_count, 1);
+    fixture.with_decider(|decider, context| {
+        let started = StartResponse::Started { clock_ms: 5_100 };
+        decider.on_start_response(context, &task, 1, started);
+    });
+    let polls = advance_to_poll(&mut fixture);
+    report(&mut fixture, polls[0], KNOWN, &[listed(&task, 1)]);
+    (fixture, task)
+}
+
+fn listed(task: &TaskRef, number: u32) -> ListedRun {
+    ListedRun { task: task.clone(), number, checkpoint: None, percent: None }
+}
+
+fn polls_of(effects: &[Effect]) -> Vec<time::Duration> {
+    let mut polls = Vec::new();
+    for effect in effects {
+        if let Some((_, WorkerOperation::Poll { sent_at, .. })) = worker_call(effect) {
+            polls.push(*sent_at);
+        }
+    }
+    polls
+}
+
+/// Advances until a poll is sent, storing appends. Returns when it was sent.
+fn advance_to_poll(fixture: &mut Fixture) -> Vec<time::Duration> {
+    for _ in 0..100 {
+        let effects = fixture.advance(50);
+        fixture.complete_appends(&effects);
+        let polls = polls_of(&effects);
+        if !polls.is_empty() {
+            return polls;
+        }
+    }
+    panic!("no poll was sent");
+}
+
+fn report(
+    fixture: &mut Fixture,
+    sent_at: time::Duration,
+    incarnation: WorkerIncarnation,
+    running: &[ListedRun],
+) {
+    let report = PollResponse::Report {
+        clock_ms: 5_200,
+        incarnation: Some(incarnation),
+        running: running.to_vec(),
+        ended: Vec::new(),
+        is_incomplete: false,
+    };
+    fixture.with_decider(|decider, context| {
+        decider.on_poll_response(context, &"w0".into(), sent_at, report);
+    });
+}
+
+fn record_of(incarnation: WorkerIncarnation) -> WorkerRecord {
+    let mut record = record("w0");
+    record.entry.as_mut().expect("an entry").incarnation = incarnation;
+    record
+}
+
+fn learn(fixture: &mut Fixture, record: WorkerRecord) {
+    let update = FollowerUpdate { is_reset: false, records: vec![(1, record)], is_caught_up: true };
+    fixture.with_decider(|decider, context| decider.on_worker_records(context, update));
+}
+
+/// Lists another worker, which could take over the run, and answers its poll.
+fn list_spare_worker(fixture: &mut Fixture) {
+    let update =
+        FollowerUpdate { is_reset: false, records: vec![(1, record("w1"))], is_caught_up: true };
+    fixture.with_decider(|decider, context| decider.on_worker_records(context, update));
+    let effects = fixture.advance(30);
+    for effect in &effects {
+        if let Some((target, WorkerOperation::Poll { sent_at, .. })) = worker_call(effect)
+            && &*target.worker == "w1"
+        {
+            fixture.report_poll("w1", *sent_at, Vec::new(), Vec::new());
+        }
+    }
+    fixture.complete_appends(&effects);
+}
+
+/// Answers all polls of `w0` with this report for a while. Returns the number of starts so far.
+fn starts_after_reports(
+    fixture: &mut Fixture,
+    incarnation: WorkerIncarnation,
+    running: &[ListedRun],
+) -> usize {
+    for _ in 0..20 {
+        let effects = fixture.advance(50);
+        fixture.complete_appends(&effects);
+        for sent_at in polls_of(&effects) {
+            report(fixture, sent_at, incarnation, running);
+        }
+    }
+    fixture.start_count
+}
+
+/// Guards against a run that is started a second time because the worker list shows another
+/// incarnation than the worker itself: an earlier one in a record that is read late, or any number
+/// in a record of another writer. The poll in flight is not answered before the worker's own
+/// report.
+#[test]
+fn a_record_of_another_incarnation_ends_no_run() {
+    for incarnation in [0, KNOWN + 1, u64::MAX] {
+        let (mut fixture, task) = fixture_with_confirmed_run();
+        list_spare_worker(&mut fixture);
+        learn(&mut fixture, record_of(incarnation));
+        let starts = starts_after_reports(&mut fixture, KNOWN, &[listed(&task, 1)]);
+        assert_eq!(starts, 1, "incarnation {incarnation} in the list");
+    }
+}
+
+/// Guards against runs of an ended incarnation that are waited for until their leases have ended:
+/// the worker's report ends them at once.
+#[test]
+fn a_report_of_another_incarnation_ends_the_runs_of_the_earlier_one() {
+    // A clock that was set back may give the later incarnation the lower number.
+    for incarnation in [0, KNOWN + 1] {
+        let (mut fixture, _) = fixture_with_confirmed_run();
+        list_spare_worker(&mut fixture);
+        learn(&mut fixture, record_of(incarnation));
+        let starts = starts_after_reports(&mut fixture, incarnation, &[]);
+        assert_eq!(starts, 2, "incarnation {incarnation} in the worker's report");
+    }
+}
+
+/// Guards against a report of the earlier incarnation that arrives after one of the later: the runs
+/// of the later one would be started again.
+#[test]
+fn a_report_that_arrives_after_a_later_one_is_ignored() {
+    let (mut fixture, task) = fixture_with_confirmed_run();
+    list_spare_worker(&mut fixture);
+    let first = advance_to_poll(&mut fixture)[0];
+    // No response arrives within the time limit, so the worker is polled again.
+    let second = advance_to_poll(&mut fixture)[0];
+    assert!(second > first);
+    let running = [listed(&task, 1)];
+    report(&mut fixture, second, KNOWN, &running);
+    report(&mut fixture, first, 0, &[]);
+    let starts = starts_after_reports(&mut fixture, KNOWN, &running);
+    assert_eq!(starts, 1, "the late report ends no run");
+}
+
+/// Guards against a worker that counts as unreachable because of a poll that was sent to its earlier
+/// incarnation: it would get no work, and its leases would not be extended.
+#[test]
+fn the_failure_of_a_replaced_poll_is_not_counted() {
+    let (mut fixture, task) = fixture_with_confirmed_run();
+    let replaced = advance_to_poll(&mut fixture)[0];
+    learn(&mut fixture, record_of(KNOWN + 1));
+    let current = advance_to_poll(&mut fixture)[0];
+    report(&mut fixture, current, KNOWN, &[listed(&task, 1)]);
+    fixture.with_decider(|decider, context| {
+        decider.on_poll_response(context, &"w0".into(), replaced, PollResponse::NoAnswer);
+    });
+    let effects = fixture.advance(0);
+    assert_eq!(polls_of(&effects).len(), 1, "the worker is polled without a delay");
+}
