Poll workers that missed a poll until they respond

Cause: a worker whose last poll failed gets no work, and a worker without runs that has responded once was not polled. A start that is rejected leaves no run, so after a failed poll nothing asked the worker again. Ruled out: the avoidance of workers after failures, which ends after 6 s, and the worker list, which has the worker all the time. Change: one predicate, Worker::awaits_response, both keeps work from a worker and makes it due for polls. Conclusion: no worker waits for a response that nothing asks for. The price is a poll a second for a listed worker that does not respond.

--- a/crates/cell/src/decider/polls.rs
+++ b/crates/cell/src/decider/polls.rs
@@ -66,8 +66,7 @@
             }
             return;
         }
-        let needs_poll = !worker.runs.is_empty() || (worker.is_listed && !worker.has_answered);
-        if !needs_poll || worker.info.address.is_empty() {
+        if !worker.needs_polls() || worker.info.address.is_empty() {
             return;
         }
         let mut due_at = worker.next_poll_at;
@@ -100,11 +99,7 @@
         let operation = WorkerOperation::Poll {
             sent_at: context.now,
             // Another incarnation with its own sequence of run ends may respond.
-            ends_stored: if worker.has_answered && worker.failed_polls == 0 {
-                worker.ends_stored
-            } else {
-                0
-            },
+            ends_stored: if worker.awaits_response() { 0 } else { worker.ends_stored },
             lease_until_ms,
             wait_ms: pier_core::clock::millis(wait),
         };
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -117,12 +117,22 @@
     /// Whether new work may be sent to the worker.
     pub fn accepts_work(&self, now: time::Duration) -> bool {
         self.is_listed
-            && self.has_answered
+            && !self.awaits_response()
             && !self.info.is_draining
-            && self.failed_polls == 0
             && !self.is_avoided(now)
     }
 
+    /// Whether the worker gets no work until it responds to a poll.
+    pub fn awaits_response(&self) -> bool {
+        !self.has_answered || self.failed_polls > 0
+    }
+
+    /// Whether the worker is polled: its leases must be extended and ends collected, or only a
+    /// response can show that it works.
+    pub fn needs_polls(&self) -> bool {
+        !self.runs.is_empty() || (self.is_listed && self.awaits_response())
+    }
+
     /// Whether the worker is avoided because its recent tasks failed.
     pub fn is_avoided(&self, now: time::Duration) -> bool {
         self.recent_failures >= AVOID_AFTER_FAILURES
