Judge a job's failures by a declaration that has its queue

Cause: a queue that is not declared counted as one with a single attempt when a run failed, and the final state was stored. Ruled out: attempts counted twice (one end with one run number) and another decider. Change: without a declared queue a failure is only counted. It is judged when the queue is declared, and for all jobs when another declaration comes into force, also by a new decider. Conclusion: nothing is decided for good from a declaration that lacks the queue.

--- a/crates/cell/src/decider/dispatch.rs
+++ b/crates/cell/src/decider/dispatch.rs
@@ -6,7 +6,6 @@
 use pier_core::ids;
 
 use crate::decider::{Context, Decider};
-use crate::declaration::Queue;
 use crate::effect::{Effect, StartRequest, WorkerOperation};
 use crate::event::{ListedEnd, RejectReason, StartResponse};
 use crate::job::{JobState, RunNumber, StepIndex, TaskRef};
@@ -15,8 +14,6 @@
 
 /// The interval at which a stop request without an acknowledgement is sent again.
 const STOP_RETRY_INTERVAL: time::Duration = time::Duration::from_millis(800);
-/// The maximum number of attempts for queues that are not in the declaration.
-const DEFAULT_MAX_ATTEMPTS: u32 = 1;
 
 impl Decider {
     /// Sends the start requests whose records are stored. Each decision is checked again because
@@ -52,6 +49,9 @@
             return Err("the zone is out of service");
         }
         let queue = context.declaration.queue(&job.spec.queue).ok_or("the queue was removed")?;
+        if job.progress.is_exhausted(queue.attempts()) {
+            return Err("the attempts are used up");
+        }
         if queue.advice.is_some() && self.ticket_of(context, task, &run.worker).is_none() {
             return Err("the adviser's ticket has expired");
         }
@@ -373,16 +373,37 @@
             EndKind::Failed if end.number > state.last_failed => {
                 state.last_failed = end.number;
                 state.failures = state.failures.saturating_add(1);
-                let max_attempts = context
-                    .declaration
-                    .queue(&job.spec.queue)
-                    .map_or(DEFAULT_MAX_ATTEMPTS, Queue::attempts);
-                if state.failures >= max_attempts && state.phase != Phase::Done {
-                    self.set_final_state(context, &task.job, JobState::Failed);
-                }
+                self.fail_if_exhausted(context, &task.job);
             }
             _ => {}
         }
         self.dirty.insert(ids::JobId::clone(&task.job));
     }
+
+    /// Applies the attempts that a new declaration allows to all jobs. A job may have failed while
+    /// its queue was not declared, also under an earlier decider.
+    pub(super) fn apply_declared_attempts(&mut self, context: &mut Context<'_>) {
+        if self.attempts_checked_for == context.declaration.version {
+            return;
+        }
+        self.attempts_checked_for = context.declaration.version;
+        let jobs: Vec<ids::JobId> = context.cell_state.live.keys().cloned().collect();
+        for job in jobs {
+            self.fail_if_exhausted(context, &job);
+        }
+    }
+
+    /// Fails the job if its attempts are used up. The jobs of a queue that is not declared wait for
+    /// a declaration with the queue.
+    fn fail_if_exhausted(&mut self, context: &mut Context<'_>, id: &ids::JobId) {
+        let Some(job) = context.cell_state.live.get(id) else {
+            return;
+        };
+        let Some(queue) = context.declaration.queue(&job.spec.queue) else {
+            return;
+        };
+        if job.progress.is_exhausted(queue.attempts()) {
+            self.set_final_state(context, id, JobState::Failed);
+        }
+    }
 }
--- a/crates/cell/src/decider/mod.rs
+++ b/crates/cell/src/decider/mod.rs
@@ -120,6 +120,8 @@
     submission_buckets: Map<AccountId, SubmissionBucket>,
     /// Jobs that exceeded the share of their account when they were submitted.
     beyond_share: BTreeSet<ids::JobId>,
+    /// The version of the declaration whose limits of attempts were applied to all jobs.
+    attempts_checked_for: ids::Version,
     advice: BTreeMap<(ids::JobId, StepIndex), StepAdvice>,
     advice_requests: BTreeMap<ids::Ticket, PendingAdvice>,
     /// The hosts with an open advice request. None stands for this host.
@@ -221,6 +223,7 @@
         }
         self.last_schedule_at = context.now;
         self.needs_scheduling = false;
+        self.apply_declared_attempts(context);
         if self.release.is_none() {
             self.schedule(context);
         }
--- a/crates/cell/src/decider/requests.rs
+++ b/crates/cell/src/decider/requests.rs
@@ -83,10 +83,13 @@
         if !self.has_worker_list {
             return None;
         }
-        let service = context.declaration.queue(&spec.queue).map(|queue| &queue.service);
+        // The host that took the submission may have read the declaration before this one.
+        let Some(queue) = context.declaration.queue(&spec.queue) else {
+            return Some(("the queue is not in the declaration", context.options.retry_after));
+        };
         let mut largest = Resources::ZERO;
         for worker in self.workers.values() {
-            if Some(&worker.info.service) == service {
+            if worker.info.service == queue.service {
                 largest = largest.max(&worker.info.capacity);
             }
         }
--- a/crates/cell/src/decider/takeover.rs
+++ b/crates/cell/src/decider/takeover.rs
@@ -65,6 +65,7 @@
             below_half_since: Map::default(),
             submission_buckets: Map::default(),
             beyond_share: BTreeSet::new(),
+            attempts_checked_for: 0,
             advice: BTreeMap::new(),
             advice_requests: BTreeMap::new(),
             busy_adviser_hosts: BTreeSet::new(),
--- a/crates/cell/src/progress.rs
+++ b/crates/cell/src/progress.rs
@@ -120,6 +120,12 @@
         (0..self.steps.len()).all(|step| self.is_step_done(step))
     }
 
+    /// Whether a task that is not done has failed this many times.
+    pub fn is_exhausted(&self, attempts: u32) -> bool {
+        let is_exhausted = |task: &Task| task.failures >= attempts && task.phase != Phase::Done;
+        self.steps.iter().any(|tasks| tasks.iter().any(is_exhausted))
+    }
+
     /// Whether all steps that `step` depends on are done.
     pub fn is_ready(&self, spec: &JobSpec, step: StepIndex) -> bool {
         spec.steps
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -116,10 +116,7 @@
 
     /// Whether new work may be sent to the worker.
     pub fn accepts_work(&self, now: time::Duration) -> bool {
-        self.is_listed
-            && !self.awaits_response()
-            && !self.info.is_draining
-            && !self.is_avoided(now)
+        self.is_listed && !self.awaits_response() && !self.info.is_draining && !self.is_avoided(now)
     }
 
     /// Whether the worker gets no work until it responds to a poll.
