Number callers' requests apart from those of earlier processes

Cause: each process numbered the requests that it passes to the decider from 1 on. Answers that the decider still owed to the ended process matched requests of the new one. Ruled out: a decider that does not know the jobs (it completes them) and a repeated answer of its own. Change: ids::TicketSequence issues the numbers, from the process's random incarnation on. The simulated cell numbers its requests in the same way, for each process; before, one counter served all hosts, and it could not show the fault. Conclusion: an answer finds only the request that it belongs to, whatever process asks.

--- a/crates/cell/tests/silence_and_restart.rs
+++ b/crates/cell/tests/silence_and_restart.rs
@@ -157,3 +157,35 @@
         assert_eq!(sim.observed.violations, Vec::<String>::new());
     }
 }
+
+/// Guards against a host that starts again at once and gives its callers the answers to requests of
+/// its earlier process: submissions would be denied or confirmed that the decider has not seen.
+#[test]
+fn a_restarted_host_does_not_use_answers_to_its_earlier_process() {
+    for seed in 0..20 {
+        let mut sim = Sim::new(seed, 4, 8);
+        sim.run_for(2_000);
+        let decider = sim.decider().expect("a decider");
+        let host = (decider + 1) % 4;
+        // The decider denies a job with its next append, which takes its time.
+        sim.append_response_ms = 240;
+        for index in 0..10 {
+            sim.cancel(host, &format!("none{index}"), "urgent");
+        }
+        sim.run_for(30);
+        sim.kill_host(host);
+        sim.start_host(host);
+        sim.run_for(100);
+        for index in 0..10 {
+            sim.submit(host, &format!("job{index}"), "urgent", vec![step(1, 1)]);
+        }
+        sim.run_for(4_000);
+        for index in 0..10 {
+            let id = format!("job{index}");
+            let response = sim.observed.responses.get(&id);
+            assert_eq!(response, Some(&CallerResponse::Accepted), "seed {seed}: {id}");
+            assert_eq!(sim.stored_state(&id), Some(JobState::Completed), "seed {seed}: {id}");
+        }
+        assert_eq!(sim.observed.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
--- a/crates/cell/tests/sim/mod.rs
+++ b/crates/cell/tests/sim/mod.rs
@@ -25,6 +25,7 @@
 use pier_cell::peer::{Advice, Message, PeerInfo};
 use pier_cell::run::EndKind;
 use pier_cell::worker::WorkerInfo;
+use pier_core::ids;
 use pier_core::resources::Resources;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -51,9 +52,14 @@
     pub is_refused_by_store: bool,
     pub connected_to: Option<usize>,
     pub core_permille: u32,
+    /// Issues the tickets of the callers' requests to the process.
+    tickets: ids::TicketSequence,
     wake_at_ms: u64,
 }
 
+/// A caller's request: the host's process, and the ticket that it has there.
+type RequestKey = (u64, ids::Ticket);
+
 /// A read that waits for a new record.
 struct WaitingRead {
     host: usize,
@@ -127,9 +133,8 @@
     queue: BTreeMap<(u64, u64), Scheduled>,
     next_due: u64,
     next_process: u64,
-    next_ticket: u64,
-    pending_submissions: BTreeMap<u64, String>,
-    query_responses: BTreeMap<u64, CallerResponse>,
+    pending_submissions: BTreeMap<RequestKey, String>,
+    query_responses: BTreeMap<RequestKey, CallerResponse>,
     waiting_reads: Vec<WaitingRead>,
 }
 
@@ -191,7 +196,6 @@
             queue: BTreeMap::new(),
             next_due: 0,
             next_process: 0,
-            next_ticket: 0,
             pending_submissions: BTreeMap::new(),
             query_responses: BTreeMap::new(),
             waiting_reads: Vec::new(),
@@ -210,6 +214,7 @@
                 is_refused_by_store: false,
                 connected_to: None,
                 core_permille: 250,
+                tickets: ids::TicketSequence::new(0),
                 wake_at_ms: 0,
             });
             sim.start_host(index);
@@ -264,10 +269,11 @@
         let identity = HostIdentity {
             host: self.hosts[index].name.as_str().into(),
             address: index.to_string().into(),
-            incarnation: self.next_process,
+            incarnation: incarnation(self.next_process),
             core_permille: self.hosts[index].core_permille,
         };
         let host = &mut self.hosts[index];
+        host.tickets = ids::TicketSequence::new(identity.incarnation);
         host.process = Some(Host::new(identity, self.options.clone()));
         host.process_number = self.next_process;
         host.wake_at_ms = self.now_ms;
@@ -330,10 +336,23 @@
         self.rng.random_range(range)
     }
 
+    /// Sends a caller's request to a host's process.
+    fn request(&mut self, host: usize, queue: &str, id: &str, operation: Operation) -> RequestKey {
+        let request = CallerRequest {
+            host: "cell.example".to_owned(),
+            path: format!("/{queue}/{id}"),
+            key: Some("key".to_owned()),
+            timeout: None,
+            operation,
+        };
+        let ticket = self.hosts[host].tickets.issue();
+        let key = (self.hosts[host].process_number, ticket);
+        self.send_event(host, 1, Event::CallerRequest { ticket, request: Box::new(request) });
+        key
+    }
+
     /// Submits a job at a host.
     pub fn submit(&mut self, host: usize, id: &str, queue: &str, steps: Vec<Step>) {
-        self.next_ticket += 1;
-        let ticket = self.next_ticket;
         let spec = JobSpec {
             id: id.into(),
             queue: queue.into(),
@@ -342,44 +361,19 @@
             steps,
         };
         self.specs.insert(id.to_owned(), sync::Arc::new(spec.clone()));
-        self.pending_submissions.insert(ticket, id.to_owned());
-        let call = CallerRequest {
-            host: "cell.example".to_owned(),
-            path: format!("/{queue}/{id}"),
-            key: Some("key".to_owned()),
-            timeout: None,
-            operation: Operation::Submit(Ok(Box::new(spec))),
-        };
-        self.send_event(host, 1, Event::CallerRequest { ticket, request: Box::new(call) });
+        let key = self.request(host, queue, id, Operation::Submit(Ok(Box::new(spec))));
+        self.pending_submissions.insert(key, id.to_owned());
     }
 
     /// Returns a host's response to a query for a job's state.
     pub fn show(&mut self, host: usize, id: &str, queue: &str) -> Option<CallerResponse> {
-        self.next_ticket += 1;
-        let ticket = self.next_ticket;
-        let call = CallerRequest {
-            host: "cell.example".to_owned(),
-            path: format!("/{queue}/{id}"),
-            key: Some("key".to_owned()),
-            timeout: None,
-            operation: Operation::Show,
-        };
-        self.send_event(host, 1, Event::CallerRequest { ticket, request: Box::new(call) });
+        let key = self.request(host, queue, id, Operation::Show);
         self.run_for(10);
-        self.query_responses.remove(&ticket)
+        self.query_responses.remove(&key)
     }
 
     pub fn cancel(&mut self, host: usize, id: &str, queue: &str) {
-        self.next_ticket += 1;
-        let ticket = self.next_ticket;
-        let call = CallerRequest {
-            host: "cell.example".to_owned(),
-            path: format!("/{queue}/{id}"),
-            key: Some("key".to_owned()),
-            timeout: None,
-            operation: Operation::Cancel,
-        };
-        self.send_event(host, 1, Event::CallerRequest { ticket, request: Box::new(call) });
+        self.request(host, queue, id, Operation::Cancel);
     }
 
     /// Cancels a job and returns the response that arrives within this time.
@@ -390,10 +384,9 @@
         queue: &str,
         millis: u64,
     ) -> Option<CallerResponse> {
-        self.cancel(host, id, queue);
-        let ticket = self.next_ticket;
+        let key = self.request(host, queue, id, Operation::Cancel);
         self.run_for(millis);
-        self.query_responses.remove(&ticket)
+        self.query_responses.remove(&key)
     }
 
     /// Returns the host that the newest claim in the log names.
@@ -584,7 +577,9 @@
             }
             Effect::Connect { decider } => self.connect(host, decider),
             Effect::Send { to, message } => self.send(host, &to, message),
-            Effect::Respond { ticket, response } => self.record_response(ticket, &response),
+            Effect::Respond { ticket, response } => {
+                self.record_response((process_number, ticket), &response);
+            }
             Effect::SetReady(_) => {}
         }
     }
@@ -726,7 +721,7 @@
         }
     }
 
-    fn connect(&mut self, host: usize, decider: Option<(pier_core::ids::HostId, sync::Arc<str>)>) {
+    fn connect(&mut self, host: usize, decider: Option<(ids::HostId, sync::Arc<str>)>) {
         self.disconnect(host);
         let Some((_, address)) = decider else {
             return;
@@ -744,7 +739,7 @@
         }
         self.hosts[host].connected_to = Some(to);
         for (a, b) in [(host, to), (to, host)] {
-            let from: pier_core::ids::HostId = self.hosts[b].name.as_str().into();
+            let from: ids::HostId = self.hosts[b].name.as_str().into();
             let zone = if b % 2 == 0 { "north" } else { "south" };
             let core_permille = self.hosts[b].core_permille;
             let info = PeerInfo { host: from.clone(), zone: zone.into(), core_permille };
@@ -766,9 +761,9 @@
         }
     }
 
-    fn record_response(&mut self, ticket: u64, response: &CallerResponse) {
-        let Some(id) = self.pending_submissions.remove(&ticket) else {
-            self.query_responses.insert(ticket, response.clone());
+    fn record_response(&mut self, key: RequestKey, response: &CallerResponse) {
+        let Some(id) = self.pending_submissions.remove(&key) else {
+            self.query_responses.insert(key, response.clone());
             return;
         };
         self.observed.responses.insert(id.clone(), response.clone());
@@ -873,6 +868,12 @@
     }
 }
 
+/// The incarnation of the process with this number. Those of successive processes are far apart, as
+/// random ones are.
+fn incarnation(process_number: u64) -> ids::Incarnation {
+    process_number.wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
+
 fn no_response(operation: &WorkerOperation) -> WorkerResponse {
     match operation {
         WorkerOperation::Start(request) => WorkerResponse::Start {
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -32,5 +32,26 @@
 /// The number of an attempt to run a task, starting at one.
 pub type Attempt = u32;
 /// The correlation id that matches an effect with the event that reports its result, unique within
-/// one process.
+/// one process. That of a caller's request is unique among all processes, see [`TicketSequence`].
 pub type Ticket = u64;
+
+/// Issues the tickets of callers' requests. Other hosts answer them by ticket, and an answer may
+/// arrive when the process that asked has ended and its host has started again. Each process numbers
+/// its requests from its random incarnation on, so that such an answer matches none of its requests.
+#[derive(Debug)]
+pub struct TicketSequence {
+    last: Ticket,
+}
+
+impl TicketSequence {
+    /// Creates the sequence of a process.
+    pub fn new(incarnation: Incarnation) -> Self {
+        Self { last: incarnation }
+    }
+
+    /// Returns the next ticket.
+    pub fn issue(&mut self) -> Ticket {
+        self.last = self.last.wrapping_add(1);
+        self.last
+    }
+}
