Tell a restarted host from the decider that it was

Callers saw: after the decider's process restarts at once and cannot reach the store, up to 2 s without a decider, instead of the time after a process that stays away; requests are passed to a process that returns them. Evidence: with the reconnecting transport in the simulation the other hosts claim after `claim_timeout`, with `is_connected` true, although `connection to the decider lost` was logged before. Change: the greeting between hosts has the incarnation of the process, and a connection counts as one to the decider only if it is that of the claim. The simulated transport reconnects after a host was killed, as the real one does, and no longer returns to an earlier target. Conclusion: which process a host talks to is known from the greeting on.

--- a/crates/cell/src/host/claim.rs
+++ b/crates/cell/src/host/claim.rs
@@ -15,6 +15,7 @@
 use crate::event::AppendResponse;
 use crate::host::{Host, Role, claim_records};
 use crate::peer::Message;
+use crate::record::Claim;
 
 /// The number of steps of `claim_stagger` over which the hosts' claims are spread.
 const CLAIM_RANKS: u64 = 8;
@@ -38,7 +39,14 @@
         if logged.claim.is_released || logged.token == self.deposed_token {
             return None;
         }
-        (self.connected_to.as_ref() == Some(&logged.claim.host)).then_some(logged.token)
+        self.is_connected_to(&logged.claim).then_some(logged.token)
+    }
+
+    /// Whether the host is connected to the process that made the claim. A process that has started
+    /// since on the same host is not the decider.
+    fn is_connected_to(&self, claim: &Claim) -> bool {
+        self.connected_to.as_ref() == Some(&claim.host)
+            && self.peers.get(&claim.host).is_some_and(|peer| peer.incarnation == claim.incarnation)
     }
 
     /// How long the log must have no new record before this host claims the decider role.
@@ -66,7 +74,7 @@
         {
             return delay;
         }
-        if self.connected_to.as_ref() == Some(&logged.claim.host) {
+        if self.is_connected_to(&logged.claim) {
             self.options.claim_timeout.saturating_add(delay)
         } else {
             self.options.disconnected_claim_timeout.saturating_add(delay)
--- a/crates/cell/src/peer.rs
+++ b/crates/cell/src/peer.rs
@@ -20,6 +20,8 @@
 pub struct PeerInfo {
     /// The host.
     pub host: ids::HostId,
+    /// The incarnation of the host's process.
+    pub incarnation: ids::Incarnation,
     /// The host's availability zone.
     pub zone: ids::ZoneId,
     /// The part of a processor core that the host may use, in thousandths.
--- a/crates/cell/tests/silence_and_restart.rs
+++ b/crates/cell/tests/silence_and_restart.rs
@@ -189,3 +189,21 @@
         assert_eq!(sim.observed.violations, Vec::<String>::new(), "seed {seed}");
     }
 }
+
+/// Guards against hosts that wait for a decider whose process has ended, because its host has
+/// started again and is connected. The new process cannot reach the store.
+#[test]
+fn a_restarted_host_is_not_taken_for_the_decider_that_it_was() {
+    for seed in 0..20 {
+        let mut sim = Sim::new(seed, 4, 8);
+        sim.run_for(2_000);
+        let decider = sim.decider().expect("a decider");
+        sim.hosts[decider].is_store_unreachable = true;
+        sim.kill_host(decider);
+        sim.start_host(decider);
+        // The same bound as for a decider that is killed and does not start again.
+        sim.run_for(1_500);
+        let successor = sim.logged_decider();
+        assert!(successor.is_some_and(|host| host != decider), "seed {seed}: {successor:?}");
+    }
+}
--- a/crates/cell/tests/sim/mod.rs
+++ b/crates/cell/tests/sim/mod.rs
@@ -37,6 +37,8 @@
 const EPOCH_MS: u64 = 1_700_000_000_000;
 /// The longest key of a record: its length is stored in one byte.
 const MAX_KEY_BYTES: usize = 255;
+/// The delay of the transport before it connects again, in milliseconds.
+const RECONNECT_DELAY_MS: u64 = 150;
 /// One-way network delays, in milliseconds.
 const NETWORK_DELAY_MS: std::ops::Range<u64> = 1..3;
 
@@ -51,6 +53,8 @@
     /// The store refuses the host's appends at once.
     pub is_refused_by_store: bool,
     pub connected_to: Option<usize>,
+    /// The host to which the transport keeps a connection.
+    connection_target: Option<usize>,
     pub core_permille: u32,
     /// Issues the tickets of the callers' requests to the process.
     tickets: ids::TicketSequence,
@@ -74,6 +78,8 @@
     Event { host: usize, process_number: u64, event: Box<Event> },
     /// The execution of an effect.
     Effect { host: usize, process_number: u64, effect: Box<Effect> },
+    /// The transport's attempt to connect a host again.
+    Reconnect { host: usize, process_number: u64, to: usize },
     /// A delayed start, which has an effect if the worker is still in the same incarnation.
     DelayedStart { incarnation: u64, target: Target, request: Box<StartRequest> },
 }
@@ -213,6 +219,7 @@
                 is_store_unreachable: false,
                 is_refused_by_store: false,
                 connected_to: None,
+                connection_target: None,
                 core_permille: 250,
                 tickets: ids::TicketSequence::new(0),
                 wake_at_ms: 0,
@@ -278,6 +285,7 @@
         host.process_number = self.next_process;
         host.wake_at_ms = self.now_ms;
         host.connected_to = None;
+        host.connection_target = None;
     }
 
     pub fn kill_host(&mut self, index: usize) {
@@ -285,7 +293,7 @@
         self.hosts[index].connected_to = None;
         for other in 0..self.hosts.len() {
             if self.hosts[other].connected_to == Some(index) {
-                self.disconnect(other);
+                self.break_connection(other);
             }
         }
         for other in 0..self.hosts.len() {
@@ -297,14 +305,15 @@
 
     /// Breaks the host's connection to the decider. The host reconnects after a delay.
     pub fn break_connection(&mut self, index: usize) {
-        let Some(to) = self.hosts[index].connected_to else {
-            return;
-        };
-        self.disconnect(index);
-        let process_number = self.hosts[index].process_number;
-        let decider = Some((self.hosts[to].name.as_str().into(), to.to_string().into()));
-        let effect = Box::new(Effect::Connect { decider });
-        self.push(150, Scheduled::Effect { host: index, process_number, effect });
+        if let Some(to) = self.hosts[index].connected_to {
+            self.disconnect(index);
+            self.reconnect_later(index, to);
+        }
+    }
+
+    fn reconnect_later(&mut self, host: usize, to: usize) {
+        let process_number = self.hosts[host].process_number;
+        self.push(RECONNECT_DELAY_MS, Scheduled::Reconnect { host, process_number, to });
     }
 
     fn disconnect(&mut self, index: usize) {
@@ -438,6 +447,13 @@
                 Scheduled::Effect { host, process_number, effect } => {
                     self.perform(host, process_number, *effect)
                 }
+                Scheduled::Reconnect { host, process_number, to } => {
+                    let state = &self.hosts[host];
+                    if state.process_number == process_number && state.connection_target == Some(to)
+                    {
+                        self.open_connection(host, to);
+                    }
+                }
                 Scheduled::DelayedStart { incarnation, target, request } => {
                     if self
                         .workers
@@ -723,18 +739,19 @@
 
     fn connect(&mut self, host: usize, decider: Option<(ids::HostId, sync::Arc<str>)>) {
         self.disconnect(host);
-        let Some((_, address)) = decider else {
-            return;
-        };
-        let Ok(to) = address.parse::<usize>() else {
+        let to = decider.and_then(|(_, address)| address.parse::<usize>().ok());
+        self.hosts[host].connection_target = to;
+        if let Some(to) = to {
+            self.open_connection(host, to);
+        }
+    }
+
+    fn open_connection(&mut self, host: usize, to: usize) {
+        if self.hosts[host].connected_to.is_some() {
             return;
-        };
+        }
         if self.hosts[to].process.is_none() {
-            // Retries the connection, as the transport does.
-            let process_number = self.hosts[host].process_number;
-            let decider = Some((self.hosts[to].name.as_str().into(), address));
-            let effect = Box::new(Effect::Connect { decider });
-            self.push(150, Scheduled::Effect { host, process_number, effect });
+            self.reconnect_later(host, to);
             return;
         }
         self.hosts[host].connected_to = Some(to);
@@ -742,7 +759,9 @@
             let from: ids::HostId = self.hosts[b].name.as_str().into();
             let zone = if b % 2 == 0 { "north" } else { "south" };
             let core_permille = self.hosts[b].core_permille;
-            let info = PeerInfo { host: from.clone(), zone: zone.into(), core_permille };
+            let incarnation = incarnation(self.hosts[b].process_number);
+            let info =
+                PeerInfo { host: from.clone(), incarnation, zone: zone.into(), core_permille };
             let message = Message::Hello(info);
             self.send_event(a, 2, Event::PeerMessage { from, message });
         }
--- a/crates/node/tests/peers.rs
+++ b/crates/node/tests/peers.rs
@@ -61,7 +61,8 @@
         let address = listener.local_addr().expect("an address");
         let (sender, inputs) = flume::unbounded();
         let clock = PausableClock::start();
-        let info = PeerInfo { host: name.into(), zone: "z".into(), core_permille: 500 };
+        let info =
+            PeerInfo { host: name.into(), incarnation: 1, zone: "z".into(), core_permille: 500 };
         let shared_clock = sync::Arc::<PausableClock>::clone(&clock);
         Self { peers: Peers::start(info, shared_clock, listener, sender), clock, inputs, address }
     }
