Bound the connections to workers, and relay calls in every cell

Cause: a worker keeps the connections of a host that has lost power, and accepts 64 in all. Each decider opened a connection for every call in progress, kept six idle ones on each worker, and repeated what failed together. Real processes that are stopped in front of workers with tables of 64 connections stop being served (lost_power.rs). Change: two connections of a host to a worker at most; calls wait for them, stops before polls before starts, each within its time limit, and one that got none is reported as not sent. A new poll ends the one in progress. Hosts relay the decider's calls in every cell, so that a new decider opens none where a relay has some; the option max_direct_workers goes. Stops and polls that failed are repeated with growing, spread delays. Measured: lost_deciders_do_not_use_up_the_connections_of_workers failed before ("not in 30s: all tasks are done") and passes; an earlier form of it with few tasks at a time passed on the old code and was replaced. Conclusion: lost hosts leave two connections at most, and only on the workers that they relayed.

--- a/crates/cell/src/decider/dispatch.rs
+++ b/crates/cell/src/decider/dispatch.rs
@@ -5,6 +5,7 @@
 
 use pier_core::ids;
 
+use crate::backoff::Backoff;
 use crate::decider::{Context, Decider};
 use crate::effect::{Effect, StartRequest, WorkerOperation};
 use crate::event::{ListedEnd, RejectReason, StartResponse};
@@ -12,8 +13,8 @@
 use crate::progress::Phase;
 use crate::run::{EndKind, RunPhase};
 
-/// The interval at which a stop request without an acknowledgement is sent again.
-const STOP_RETRY_INTERVAL: time::Duration = time::Duration::from_millis(800);
+/// The delays before a stop request without an acknowledgement is sent again.
+const STOP_BACKOFF: Backoff = Backoff { first: time::Duration::from_millis(800), max_steps: 3 };
 
 impl Decider {
     /// Sends the start requests whose records are stored. Each decision is checked again because
@@ -205,14 +206,14 @@
             let Some(run) = self.runs.get(task) else {
                 continue;
             };
-            let RunPhase::Stopping { sent_at } = run.phase else {
+            let RunPhase::Stopping { attempts, due_at } = run.phase else {
                 continue;
             };
-            if sent_at.is_none_or(|at| context.now >= at.saturating_add(STOP_RETRY_INTERVAL)) {
-                due.push((task.clone(), run.number, ids::WorkerId::clone(&run.worker)));
+            if context.now >= due_at {
+                due.push((task.clone(), run.number, ids::WorkerId::clone(&run.worker), attempts));
             }
         }
-        for (task, number, worker) in due {
+        for (task, number, worker, attempts) in due {
             let Some(worker) = self.workers.get(&worker).filter(|w| !w.info.address.is_empty())
             else {
                 continue;
@@ -222,7 +223,10 @@
             let operation = WorkerOperation::Stop { task: task.clone(), number };
             context.effects.push(Effect::call(self.target(worker), operation, context.options));
             if let Some(run) = self.runs.get_mut(&task) {
-                run.phase = RunPhase::Stopping { sent_at: Some(context.now) };
+                let attempts = attempts.saturating_add(1);
+                let delay = STOP_BACKOFF.delay(&format!("{}/{}", task.job, task.index), attempts);
+                let due_at = context.now.saturating_add(delay);
+                run.phase = RunPhase::Stopping { attempts, due_at };
             }
         }
     }
@@ -238,7 +242,7 @@
             RunPhase::Sent | RunPhase::Unknown { .. } | RunPhase::Running { .. }
         );
         if may_stop {
-            run.phase = RunPhase::Stopping { sent_at: None };
+            run.phase = RunPhase::Stopping { attempts: 0, due_at: time::Duration::ZERO };
             self.stopping.insert(task.clone());
         }
     }
--- a/crates/cell/src/decider/polls.rs
+++ b/crates/cell/src/decider/polls.rs
@@ -6,6 +6,7 @@
 use pier_core::ids;
 use pier_core::map::Set;
 
+use crate::backoff::Backoff;
 use crate::decider::{Context, Decider};
 use crate::effect::{Effect, Target, WorkerOperation};
 use crate::event::{ListedEnd, ListedRun, PollResponse};
@@ -30,8 +31,8 @@
 /// After this many failed polls no lease is extended any more, so that the end of the leases is
 /// known.
 const NO_LEASE_AFTER_FAILED_POLLS: u32 = 2;
-/// The maximum number of delays that are added up after failed polls.
-const MAX_BACKOFF_STEPS: u32 = 4;
+/// The number of failed polls up to which the delay before the next one grows.
+const MAX_POLL_BACKOFF_STEPS: u32 = 4;
 
 impl Decider {
     /// Sends the polls that are due. Workers with recent events are checked at once, and all
@@ -141,9 +142,12 @@
                 if worker.relay.take().is_some() {
                     worker.relay_failures = worker.relay_failures.wrapping_add(1);
                 }
-                let backoff_steps = worker.failed_polls.min(MAX_BACKOFF_STEPS);
-                worker.next_poll_at =
-                    context.now.saturating_add(context.options.poll_retry_delay * backoff_steps);
+                let backoff = Backoff {
+                    first: context.options.poll_retry_delay,
+                    max_steps: MAX_POLL_BACKOFF_STEPS,
+                };
+                let delay = backoff.delay(id, worker.failed_polls);
+                worker.next_poll_at = context.now.saturating_add(delay);
                 if worker.failed_polls == 1 {
                     tracing::warn!(worker = %id, runs = worker.runs.len(),
                         "worker does not respond");
--- a/crates/cell/src/decider/relay.rs
+++ b/crates/cell/src/decider/relay.rs
@@ -1,8 +1,8 @@
 //! Relays of the decider's calls to workers.
 //!
-//! In a large cell these calls take most of the decider's processor time, so the other hosts make
-//! them, each for workers of its own zone. In a small cell the decider calls the workers itself,
-//! because every host between the decider and a worker may fail.
+//! The other hosts make the calls, each for workers of its own zone. In a large cell the calls would
+//! take most of the decider's processor time. In every cell, a change of the decider then opens few
+//! connections to workers, which may keep those of a host that has lost power.
 
 use std::collections::BTreeMap;
 
@@ -35,9 +35,10 @@
         }
     }
 
-    /// Hands the worker calls among the effects to their relay hosts.
+    /// Hands the worker calls among the effects to their relay hosts. A decider without connected
+    /// hosts makes them itself.
     pub fn relay_calls(&mut self, context: &mut Context<'_>) {
-        if self.workers.len() <= context.options.max_direct_workers || self.peers.is_empty() {
+        if self.peers.is_empty() {
             return;
         }
         for effect in context.effects.iter_mut() {
@@ -75,7 +76,9 @@
                     RunPhase::Sent => {
                         run.phase = RunPhase::Unknown { since: context.now, is_fenced: false };
                     }
-                    RunPhase::Stopping { .. } => run.phase = RunPhase::Stopping { sent_at: None },
+                    RunPhase::Stopping { attempts, .. } => {
+                        run.phase = RunPhase::Stopping { attempts, due_at: context.now };
+                    }
                     _ => {}
                 }
             }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -10,6 +10,7 @@
 #![warn(rust_2018_idioms)]
 
 pub mod advice;
+pub mod backoff;
 pub mod cell_state;
 pub mod decider;
 pub mod declaration;
--- a/crates/cell/src/options.rs
+++ b/crates/cell/src/options.rs
@@ -78,9 +78,6 @@
     pub max_record_bytes: usize,
     /// The greatest total length of the records of one append.
     pub max_append_bytes: usize,
-    /// The greatest number of workers that the decider calls itself. In a larger cell the other
-    /// hosts make its worker calls.
-    pub max_direct_workers: usize,
     /// The factor by which tasks run longer away from their data or, for gangs, across several
     /// racks.
     pub remote_slowdown: f64,
@@ -121,7 +118,6 @@
             max_waiting_jobs: 2_000,
             max_record_bytes: 262_144,
             max_append_bytes: 2_097_152,
-            max_direct_workers: 100,
             remote_slowdown: 3.0,
         }
     }
--- a/crates/cell/src/run.rs
+++ b/crates/cell/src/run.rs
@@ -32,8 +32,10 @@
     },
     /// The run is being stopped and the worker has not acknowledged the stop.
     Stopping {
-        /// When the stop request was last sent, or none if it was not sent yet.
-        sent_at: Option<time::Duration>,
+        /// How many stop requests were sent.
+        attempts: u32,
+        /// When the next one is due.
+        due_at: time::Duration,
     },
     /// The worker has acknowledged the stop.
     Stopped {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
 
+pub mod call_queue;
 pub mod clock;
 pub mod engine;
 pub mod metrics;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of a host.
 
+use std::io;
 use std::sync::atomic;
 use std::time;
 
@@ -27,6 +28,19 @@
     call_times: Family<Labels, Histogram>,
     answers: Family<Labels, Counter>,
     is_decider: Gauge<i64, atomic::AtomicI64>,
+    worker_connections: Gauge<i64, atomic::AtomicI64>,
+    worker_connections_opened: Counter,
+    worker_connect_failures: Family<Labels, Counter>,
+}
+
+/// An open connection to a worker, counted until this is dropped.
+#[derive(Debug)]
+pub struct OpenWorkerConnection(Gauge<i64, atomic::AtomicI64>);
+
+impl Drop for OpenWorkerConnection {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
 }
 
 impl Default for Metrics {
@@ -51,7 +65,36 @@
         registry.register("answers", "Answers to callers by status", answers.clone());
         let is_decider = Gauge::default();
         registry.register("is_decider", "Whether the host decides", is_decider.clone());
-        Self { registry, events, step_times, calls, call_times, answers, is_decider }
+        let worker_connections = Gauge::default();
+        registry.register(
+            "worker_connections",
+            "Open connections to workers",
+            worker_connections.clone(),
+        );
+        let worker_connections_opened = Counter::default();
+        registry.register(
+            "worker_connections_opened",
+            "Connections to workers that were opened",
+            worker_connections_opened.clone(),
+        );
+        let worker_connect_failures = Family::<Labels, Counter>::default();
+        registry.register(
+            "worker_connect_failures",
+            "Failed attempts to connect to a worker by cause",
+            worker_connect_failures.clone(),
+        );
+        Self {
+            registry,
+            events,
+            step_times,
+            calls,
+            call_times,
+            answers,
+            is_decider,
+            worker_connections,
+            worker_connections_opened,
+            worker_connect_failures,
+        }
     }
 }
 
@@ -70,6 +113,19 @@
         self.calls.get_or_create(&vec![system, ("result".to_owned(), result.to_owned())]).inc();
     }
 
+    /// Counts a connection to a worker.
+    pub fn count_worker_connection(&self) -> OpenWorkerConnection {
+        self.worker_connections_opened.inc();
+        self.worker_connections.inc();
+        OpenWorkerConnection(self.worker_connections.clone())
+    }
+
+    /// Counts a failed attempt to connect to a worker.
+    pub fn record_worker_connect_failure(&self, cause: io::ErrorKind) {
+        let labels = vec![("cause".to_owned(), cause.to_string())];
+        self.worker_connect_failures.get_or_create(&labels).inc();
+    }
+
     /// Counts a response to a caller by its HTTP status.
     pub fn record_response(&self, status: u16) {
         self.answers.get_or_create(&vec![("status".to_owned(), status.to_string())]).inc();
