Request advice through other hosts when one gets no response

Cause: idle_adviser_host always took the first idle host, also after its requests had no response. Change: hosts whose last requests had no response come after the others, also after the decider itself. A response or a new connection clears that. Measured: advice_requests_go_through_the_hosts_in_turn failed before (h1 four times in a row) and passes. Conclusion: a host without a path to the adviser delays a step by one time limit.

--- a/crates/cell/src/decider/adviser.rs
+++ b/crates/cell/src/decider/adviser.rs
@@ -226,15 +226,22 @@
     }
 
     /// A host without an open advice request, because the adviser accepts one request at a time
-    /// from each host. This host comes last because it has the most other work. None if all hosts
-    /// have one.
+    /// from each host. None if all hosts have one. Hosts whose last requests had no response come
+    /// after the others, as they may not reach the adviser. Among equals this host comes last
+    /// because it has the most other work.
     pub(super) fn idle_adviser_host(&self) -> Option<Option<ids::HostId>> {
-        for host in self.peers.keys() {
-            if !self.busy_adviser_hosts.contains(&Some(ids::HostId::clone(host))) {
-                return Some(Some(ids::HostId::clone(host)));
+        let peers = self.peers.keys().map(|host| Some(ids::HostId::clone(host)));
+        let mut idle: Option<(u32, Option<ids::HostId>)> = None;
+        for host in peers.chain([None]) {
+            if self.busy_adviser_hosts.contains(&host) {
+                continue;
+            }
+            let failures = self.adviser_failures.get(&host).copied().unwrap_or_default();
+            if idle.as_ref().is_none_or(|(fewest, _)| failures < *fewest) {
+                idle = Some((failures, host));
             }
         }
-        (!self.busy_adviser_hosts.contains(&None)).then_some(None)
+        idle.map(|(_, host)| host)
     }
 
     /// Handles the adviser's response, or none if there was no response.
@@ -248,7 +255,11 @@
             return;
         };
         self.busy_adviser_hosts.remove(&request.host);
-        if response.is_none() {
+        if response.is_some() {
+            self.adviser_failures.remove(&request.host);
+        } else {
+            let failures = self.adviser_failures.entry(request.host.clone()).or_default();
+            *failures = failures.saturating_add(1);
             tracing::warn!(job = %request.job, step = request.step, host = request.host.as_deref(),
                 "no response to the advice request");
         }
--- a/crates/cell/src/decider/mod.rs
+++ b/crates/cell/src/decider/mod.rs
@@ -126,6 +126,8 @@
     advice_requests: BTreeMap<ids::Ticket, PendingAdvice>,
     /// The hosts with an open advice request. None stands for this host.
     busy_adviser_hosts: BTreeSet<Option<ids::HostId>>,
+    /// For hosts whose last advice requests had no response: how many. None stands for this host.
+    adviser_failures: BTreeMap<Option<ids::HostId>, u32>,
     speeds: WorkerSpeeds,
     /// The workers in descending order of their free share, and the time of the sort.
     workers_by_free: Vec<ids::WorkerId>,
--- a/crates/cell/src/decider/takeover.rs
+++ b/crates/cell/src/decider/takeover.rs
@@ -69,6 +69,7 @@
             advice: BTreeMap::new(),
             advice_requests: BTreeMap::new(),
             busy_adviser_hosts: BTreeSet::new(),
+            adviser_failures: BTreeMap::new(),
             speeds: WorkerSpeeds::default(),
             workers_by_free: Vec::new(),
             workers_sorted_at: time::Duration::ZERO,
@@ -265,6 +266,7 @@
         for ticket in lost {
             self.on_advice_response(context, ticket, None);
         }
+        self.adviser_failures.remove(&Some(ids::HostId::clone(host)));
     }
 }
 
--- a/crates/cell/tests/decider.rs
+++ b/crates/cell/tests/decider.rs
@@ -11,7 +11,7 @@
 use pier_cell::event::{ListedEnd, ListedRun, StartResponse};
 use pier_cell::follower::FollowerUpdate;
 use pier_cell::job::{JobSpec, JobState, TaskRef};
-use pier_cell::peer::Advice;
+use pier_cell::peer::{Advice, Message, PeerInfo};
 use pier_cell::run::EndKind;
 
 use fixture::{Fixture, cores, count_starts, queue, record, single_step, worker_call};
@@ -499,3 +499,45 @@
     assert!(stopped, "the run was stopped");
     assert_eq!(second, Some(if &*first == "w0" { "w1".into() } else { "w0".into() }));
 }
+
+/// Guards against a step that never gets a ticket because its requests all go through a host that
+/// does not reach the adviser: the first idle host in the order of names.
+#[test]
+fn advice_requests_go_through_the_hosts_in_turn() {
+    let mut fixture = Fixture::new(queue(Some(adviser_timing())));
+    fixture.with_decider(|decider, context| {
+        for host in ["h1", "h2", "h3"] {
+            let info = PeerInfo {
+                host: host.into(),
+                incarnation: 1,
+                zone: "north".into(),
+                core_permille: 250,
+            };
+            decider.on_peer_connected(context, &info);
+        }
+    });
+    fixture.list_workers(&["w0"]);
+    fixture.submit(single_step(1, false));
+    let mut asked = Vec::new();
+    for _ in 0..30 {
+        let effects = fixture.advance(100);
+        fixture.complete_appends(&effects);
+        for effect in &effects {
+            let (host, request) = match effect {
+                Effect::Send { to, message: Message::AskAdviser { request } } => {
+                    (Some(to.to_string()), request.clone())
+                }
+                Effect::RequestAdvice(request) => (None, request.clone()),
+                _ => continue,
+            };
+            asked.push(host);
+            fixture.with_decider(|decider, context| {
+                decider.on_advice_response(context, request.ticket, None);
+            });
+        }
+    }
+    let hosts = [Some("h1".to_owned()), Some("h2".to_owned()), Some("h3".to_owned()), None];
+    assert!(asked.len() >= 8, "{} requests", asked.len());
+    assert_eq!(asked[..4], hosts);
+    assert_eq!(asked[4..8], hosts);
+}
