Count on another incarnation until a run is listed

The first poll acknowledged ends by the numbers of the earlier incarnation, so that an end of the new one could be forgotten unseen. A run found by a report left its job `queued`. Change: while runs are not listed yet, a poll acknowledges ends only right after a report. Runs that no report has listed count until the longest lease has ended, and so do all runs of a worker that began another incarnation. A listed run marks its job as begun. The clock in a late response to a start is not taken after the worker has begun another incarnation. Conclusion: what a decider assumes of a worker holds for the incarnation that may be there. Not covered: a decider that takes over while such a worker is cut off counts on the usual lease.

--- a/crates/cell/src/decider/dispatch.rs
+++ b/crates/cell/src/decider/dispatch.rs
@@ -123,11 +123,13 @@
         let worker = ids::WorkerId::clone(&run.worker);
         match response {
             StartResponse::Started { clock_ms } => {
+                // A response that arrives when the worker is known to have restarted may be from before,
+                // and its clock that of the earlier incarnation.
                 if run.phase == RunPhase::Sent {
                     run.phase = RunPhase::Running { since: context.now };
-                }
-                if let Some(worker) = self.workers.get_mut(&worker) {
-                    worker.record_clock(context.now, clock_ms);
+                    if let Some(worker) = self.workers.get_mut(&worker) {
+                        worker.record_clock(context.now, clock_ms);
+                    }
                 }
                 self.mark_job_started(context, task);
             }
@@ -296,7 +298,7 @@
         self.stop_runs_of(&task.job, Some(task.step));
     }
 
-    fn mark_job_started(&mut self, context: &mut Context<'_>, task: &TaskRef) {
+    pub(super) fn mark_job_started(&mut self, context: &mut Context<'_>, task: &TaskRef) {
         if let Some(job) = context.cell_state.live.get_mut(&task.job)
             && !job.progress.has_begun
         {
--- a/crates/cell/src/decider/polls.rs
+++ b/crates/cell/src/decider/polls.rs
@@ -28,6 +28,9 @@
 /// The maximum number of run ends in a worker's report. If a report is full, the end of a run that
 /// it does not list may be among those left out.
 const MAX_LISTED_ENDS: usize = 500;
+/// The greatest age of the last report at which a poll acknowledges ends while there are runs that no
+/// report has listed. A worker does not restart, run a task and end it in this time.
+const MAX_ACKNOWLEDGED_REPORT_AGE: time::Duration = time::Duration::from_millis(100);
 /// After this many failed polls no lease is extended any more, so that the end of the leases is
 /// known.
 const NO_LEASE_AFTER_FAILED_POLLS: u32 = 2;
@@ -86,6 +89,14 @@
         };
         let is_log_available =
             context.now <= self.last_stored_at.saturating_add(options.lease_extension_without_log);
+        // The worker may have restarted since its last report and numbers its ends anew then. Ends of
+        // runs that no report has listed must not be acknowledged unseen.
+        let is_confirmed = |task| self.runs.get(task).is_some_and(|run| run.is_confirmed);
+        let has_recent_report = worker
+            .reported_at
+            .is_some_and(|at| context.now <= at.saturating_add(MAX_ACKNOWLEDGED_REPORT_AGE));
+        let acknowledges_ends = !worker.awaits_response()
+            && (has_recent_report || worker.runs.iter().all(is_confirmed));
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -99,8 +110,7 @@
         worker.last_poll_at = context.now;
         let operation = WorkerOperation::Poll {
             sent_at: context.now,
-            // Another incarnation with its own sequence of run ends may respond.
-            ends_stored: if worker.awaits_response() { 0 } else { worker.ends_stored },
+            ends_stored: if acknowledges_ends { worker.ends_stored } else { 0 },
             lease_until_ms,
             wait_ms: pier_core::clock::millis(wait),
         };
@@ -155,6 +165,7 @@
             }
             PollResponse::Report { clock_ms, incarnation, running, ended, is_incomplete } => {
                 worker.last_report_of = Some(sent_at);
+                worker.reported_at = Some(context.now);
                 self.on_report_header(context, id, clock_ms, incarnation);
                 self.on_listed_ends(context, id, &ended);
                 self.check_listed_runs(context, id, &running);
@@ -249,6 +260,7 @@
                 self.stop_unknown_run(context, id, listed);
                 continue;
             }
+            self.mark_job_started(context, &listed.task);
             if let Some(run) = self.runs.get_mut(&listed.task) {
                 run.is_confirmed = true;
                 if matches!(run.phase, RunPhase::Unknown { .. }) {
@@ -347,8 +359,15 @@
         let mut expired: Vec<TaskRef> = Vec::new();
         for worker in self.workers.values() {
             let is_unreachable = worker.failed_polls > 0 || worker.info.address.is_empty();
-            if is_unreachable && context.now > worker.leases_end_at {
-                expired.extend(worker.runs.iter().cloned());
+            if !is_unreachable || context.now <= worker.leases_end_at {
+                continue;
+            }
+            for task in &worker.runs {
+                // A run that no report has listed may be in another incarnation.
+                let is_confirmed = self.runs.get(task).is_some_and(|run| run.is_confirmed);
+                if is_confirmed || context.now > worker.longest_leases_end_at {
+                    expired.push(task.clone());
+                }
             }
         }
         for task in expired {
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -81,8 +81,13 @@
     pub relay: Option<ids::HostId>,
     /// How many times another relay has been chosen because calls had failed.
     pub relay_failures: u32,
+    /// When the last report was handled.
+    pub reported_at: Option<time::Duration>,
     /// When all leases on this worker that the decider knows of have ended, unless it sends more.
     pub leases_end_at: time::Duration,
+    /// The same if the worker is in another incarnation than the known one. Its clock is another, and
+    /// it may have taken the end of a lease for the latest one that it grants.
+    pub longest_leases_end_at: time::Duration,
     clock: Option<(time::Duration, u64)>,
     recent_failures: u32,
     last_failure_at: time::Duration,
@@ -107,7 +112,9 @@
             failed_polls: 0,
             relay: None,
             relay_failures: 0,
+            reported_at: None,
             leases_end_at,
+            longest_leases_end_at: leases_end_at,
             clock: None,
             recent_failures: 0,
             last_failure_at: time::Duration::ZERO,
@@ -167,6 +174,11 @@
             .saturating_add(ahead * 100 / MIN_CLOCK_RATE_PERCENT)
             .saturating_add(LEASE_TIMER_MARGIN);
         self.leases_end_at = self.leases_end_at.max(ends_at);
+        let longest_ends_at = now
+            .saturating_add(options.worker_call_timeout)
+            .saturating_add(options.max_lease * 100 / MIN_CLOCK_RATE_PERCENT)
+            .saturating_add(LEASE_TIMER_MARGIN);
+        self.longest_leases_end_at = self.longest_leases_end_at.max(longest_ends_at);
         Some(until_ms)
     }
 
@@ -207,6 +219,8 @@
         self.ends_stored = 0;
         self.ends_received = 0;
         self.failed_polls = 0;
+        // Calls that were meant for the earlier incarnation may have reached this one.
+        self.leases_end_at = self.leases_end_at.max(self.longest_leases_end_at);
         self.clock = None;
         self.recent_failures = 0;
         self.next_poll_at = time::Duration::ZERO;
--- a/crates/cell/tests/worker_incarnations.rs
+++ b/crates/cell/tests/worker_incarnations.rs
@@ -6,9 +6,10 @@
 use std::time;
 
 use pier_cell::effect::{Effect, WorkerOperation};
-use pier_cell::event::{ListedRun, PollResponse, StartResponse, WorkerRecord};
+use pier_cell::event::{ListedEnd, ListedRun, PollResponse, StartResponse, WorkerRecord};
 use pier_cell::follower::FollowerUpdate;
-use pier_cell::job::TaskRef;
+use pier_cell::job::{JobState, TaskRef};
+use pier_cell::run::EndKind;
 use pier_cell::worker::WorkerIncarnation;
 
 use fixture::{Fixture, queue, record, single_step, worker_call};
@@ -182,3 +183,92 @@
     let effects = fixture.advance(0);
     assert_eq!(polls_of(&effects).len(), 1, "the worker is polled without a delay");
 }
+
+/// Sends the first start to a worker whose last report is old and that may have restarted since.
+fn fixture_with_start_after_idle_time() -> (Fixture, TaskRef) {
+    let (mut fixture, task) = fixture_with_confirmed_run();
+    let poll = advance_to_poll(&mut fixture)[0];
+    let end = ListedEnd {
+        sequence: 5,
+        task: Some(task),
+        number: 1,
+        kind: Some(EndKind::Done),
+        checkpoint: None,
+    };
+    fixture.report_poll("w0", poll, Vec::new(), vec![end]);
+    for _ in 0..40 {
+        let effects = fixture.advance(50);
+        fixture.complete_appends(&effects);
+    }
+    let task = fixture.submit_as("second", single_step(1, false));
+    let effects = fixture.advance(30);
+    fixture.complete_appends(&effects);
+    assert_eq!(fixture.start_count, 2);
+    (fixture, task)
+}
+
+/// Guards against the end of a run that is lost: the worker has restarted under its id and numbers
+/// its ends anew, and the first poll acknowledges a number of the earlier incarnation.
+#[test]
+fn ends_are_acknowledged_only_to_the_incarnation_that_reported_them() {
+    let (mut fixture, _) = fixture_with_start_after_idle_time();
+    let effects = fixture.advance(0);
+    let acknowledged: Vec<u64> = effects
+        .iter()
+        .filter_map(|effect| match worker_call(effect) {
+            Some((_, WorkerOperation::Poll { ends_stored, .. })) => Some(*ends_stored),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(acknowledged, [0]);
+}
+
+/// Guards against a second run while the first is alive. The worker has restarted, and took the end
+/// of the lease, which was meant for its earlier clock, as one up to the longest lease.
+#[test]
+fn a_run_on_a_restarted_worker_counts_for_the_longest_lease() {
+    for is_reported in [false, true] {
+        let (mut fixture, task) = fixture_with_start_after_idle_time();
+        let started_at = fixture.now;
+        list_spare_worker(&mut fixture);
+        if is_reported {
+            let poll = advance_to_poll(&mut fixture)[0];
+            report(&mut fixture, poll, KNOWN + 1, &[listed(&task, 1)]);
+        }
+        // The worker is cut off from now on, and its runs go on until their lease has ended.
+        let may_run_until = started_at + fixture.options.max_lease;
+        while fixture.now < may_run_until {
+            let effects = fixture.advance(100);
+            fixture.complete_appends(&effects);
+            let mut polls = Vec::new();
+            for effect in &effects {
+                if let Some((target, WorkerOperation::Poll { sent_at, .. })) = worker_call(effect)
+                    && &*target.worker == "w0"
+                {
+                    polls.push(*sent_at);
+                }
+            }
+            for sent_at in polls {
+                fixture.with_decider(|decider, context| {
+                    let response = PollResponse::NoAnswer;
+                    decider.on_poll_response(context, &"w0".into(), sent_at, response);
+                });
+            }
+            assert_eq!(fixture.start_count, 2, "reported: {is_reported}, at {:?}", fixture.now);
+        }
+    }
+}
+
+/// Guards against a job that is shown as queued while it runs, because the response to its start
+/// was lost.
+#[test]
+fn a_run_that_a_report_lists_makes_its_job_a_running_one() {
+    let (mut fixture, task) = fixture_with_start_after_idle_time();
+    fixture.with_decider(|decider, context| {
+        decider.on_start_response(context, &task, 1, StartResponse::NoAnswer);
+    });
+    assert_eq!(fixture.cell_state.job_state("second"), Some(JobState::Queued));
+    let poll = advance_to_poll(&mut fixture)[0];
+    report(&mut fixture, poll, KNOWN, &[listed(&task, 1)]);
+    assert_eq!(fixture.cell_state.job_state("second"), Some(JobState::Running));
+}
