--- /dev/null
+++ b/crates/cell/tests/sim/callers.rs
@@ -0,0 +1,110 @@
+//! Requests of callers.
+
+use std::sync;
+
+use pier_cell::effect::CallerResponse;
+use pier_cell::event::{CallerRequest, Event, Operation};
+use pier_cell::job::{JobSpec, Step};
+use rand::Rng;
+
+use crate::sim::{RequestKey, Sim, step};
+
+/// Jobs submitted per second.
+const JOBS_PER_S: u64 = 12;
+
+impl Sim {
+    /// Sends a caller's request to a host's process.
+    pub(super) fn request(
+        &mut self,
+        host: usize,
+        queue: &str,
+        id: &str,
+        operation: Operation,
+    ) -> RequestKey {
+        let request = CallerRequest {
+            host: "cell.example".to_owned(),
+            path: format!("/{queue}/{id}"),
+            key: Some("key".to_owned()),
+            timeout: None,
+            operation,
+        };
+        let ticket = self.hosts[host].tickets.issue();
+        let key = (self.hosts[host].process_number, ticket);
+        self.send_event(host, 1, Event::CallerRequest { ticket, request: Box::new(request) });
+        key
+    }
+
+    /// Submits a job at a host.
+    pub fn submit(&mut self, host: usize, id: &str, queue: &str, steps: Vec<Step>) {
+        let spec = JobSpec {
+            id: id.into(),
+            queue: queue.into(),
+            account: None,
+            payload: "text".into(),
+            steps,
+        };
+        self.specs.insert(id.to_owned(), sync::Arc::new(spec.clone()));
+        let key = self.request(host, queue, id, Operation::Submit(Ok(Box::new(spec))));
+        self.pending_submissions.insert(key, id.to_owned());
+    }
+
+    /// Returns a host's response to a query for a job's state.
+    pub fn show(&mut self, host: usize, id: &str, queue: &str) -> Option<CallerResponse> {
+        let key = self.request(host, queue, id, Operation::Show);
+        self.run_for(10);
+        self.query_responses.remove(&key)
+    }
+
+    pub fn cancel(&mut self, host: usize, id: &str, queue: &str) {
+        self.request(host, queue, id, Operation::Cancel);
+    }
+
+    /// Cancels a job and returns the response that arrives within this time.
+    pub fn cancel_for(
+        &mut self,
+        host: usize,
+        id: &str,
+        queue: &str,
+        millis: u64,
+    ) -> Option<CallerResponse> {
+        let key = self.request(host, queue, id, Operation::Cancel);
+        self.run_for(millis);
+        self.query_responses.remove(&key)
+    }
+
+    pub(super) fn record_response(&mut self, key: RequestKey, response: &CallerResponse) {
+        let Some(id) = self.pending_submissions.remove(&key) else {
+            self.query_responses.insert(key, response.clone());
+            return;
+        };
+        self.observed.responses.insert(id.clone(), response.clone());
+        let outcomes = match response {
+            CallerResponse::Accepted => &mut self.observed.accepted,
+            CallerResponse::OutcomeUnknown => &mut self.observed.unknown_outcomes,
+            _ => &mut self.observed.rejected,
+        };
+        outcomes.insert(id);
+    }
+}
+
+/// Submits random jobs for some seconds.
+pub fn submit_load(sim: &mut Sim, seconds: u64, count: &mut usize) {
+    for _ in 0..seconds * JOBS_PER_S {
+        let host = sim.rng.random_range(0..sim.hosts.len());
+        let tasks = sim.rng.random_range(1..4);
+        let need = sim.rng.random_range(1..5);
+        let mut steps = vec![step(tasks, need)];
+        if sim.rng.random_range(0..4) == 0 {
+            steps[0].gang = true;
+        }
+        if sim.rng.random_range(0..4) == 0 {
+            let mut second = step(1, 1);
+            second.after = vec![0];
+            steps.push(second);
+        }
+        let queue = if sim.rng.random_range(0..2) == 0 { "urgent" } else { "batch" };
+        *count += 1;
+        sim.submit(host, &format!("{count:016x}"), queue, steps);
+        sim.run_for(1_000 / JOBS_PER_S);
+    }
+}
--- /dev/null
+++ b/crates/cell/tests/sim/invariants.rs
@@ -0,0 +1,99 @@
+//! What the cell guarantees, and the checks of it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use pier_cell::effect::CallerResponse;
+use pier_cell::job::{JobState, TaskRef};
+
+use crate::sim::{MAX_KEY_BYTES, Sim, step};
+
+/// The violations of the cell's guarantees, the responses to callers, and counts of calls.
+#[derive(Debug, Default)]
+pub struct Observations {
+    pub violations: Vec<String>,
+    pub accepted: BTreeSet<String>,
+    pub rejected: BTreeSet<String>,
+    pub unknown_outcomes: BTreeSet<String>,
+    pub responses: BTreeMap<String, CallerResponse>,
+    pub starts: u64,
+    pub start_times_ms: Vec<u64>,
+    pub claims: u64,
+    pub advice_requests_by_host: BTreeMap<usize, u64>,
+    pub worker_calls_by_host: BTreeMap<usize, u64>,
+    pub cell_reads_by_host: BTreeMap<usize, u64>,
+    /// The number of messages between hosts.
+    pub messages: u64,
+    pub(super) last_start_ms: BTreeMap<TaskRef, u64>,
+    pub(super) done: BTreeSet<TaskRef>,
+}
+
+impl Sim {
+    pub(super) fn check_sizes(&mut self, records: &[pier_cell::record::Record]) {
+        let mut bytes = 0;
+        for record in records {
+            bytes += 4 + record.stored_bytes();
+            let is_too_long = record.stored_bytes() > self.options.max_record_bytes;
+            if is_too_long || record.key.len() > MAX_KEY_BYTES {
+                self.observed
+                    .violations
+                    .push(format!("the record of {:.80} is too long", record.key));
+            }
+        }
+        if bytes > self.options.max_append_bytes {
+            self.observed.violations.push(format!("an append of {bytes} bytes"));
+        }
+    }
+
+    pub(super) fn record_start(&mut self, id: &str, task: &TaskRef, is_over_capacity: bool) {
+        self.observed.starts += 1;
+        self.observed.start_times_ms.push(self.now_ms);
+        self.observed.last_start_ms.insert(task.clone(), self.now_ms);
+        if is_over_capacity {
+            self.observed.violations.push(format!("{} ms: {id} is over its capacity", self.now_ms));
+        }
+        if self.observed.done.contains(task) {
+            self.observed
+                .violations
+                .push(format!("{} ms: {task:?} started after done", self.now_ms));
+        }
+        let is_running_elsewhere = self
+            .workers
+            .values()
+            .filter(|worker| worker.is_up && worker.id != id)
+            .any(|worker| worker.running.contains_key(task));
+        if is_running_elsewhere {
+            self.observed.violations.push(format!("{} ms: {task:?} runs twice", self.now_ms));
+        }
+    }
+}
+
+/// Checks the guarantees at the end of a simulation.
+pub fn check_invariants(sim: &Sim) {
+    assert_eq!(sim.observed.violations, Vec::<String>::new());
+    let mut unfinished = BTreeSet::new();
+    for id in &sim.observed.accepted {
+        match sim.stored_state(id) {
+            Some(JobState::Completed | JobState::Failed) => {}
+            state => {
+                unfinished.insert(format!("{id} is {state:?}"));
+            }
+        }
+    }
+    assert_eq!(unfinished, BTreeSet::new(), "accepted jobs that have not ended");
+    for id in &sim.observed.rejected {
+        assert_eq!(sim.stored_state(id), None, "{id} was rejected, but the log has it");
+    }
+}
+
+/// Submits jobs at the hosts other than `decider` and returns the time from `at_ms` to the first
+/// start, not counting the first 100 ms.
+pub fn first_start_after(sim: &mut Sim, decider: usize, at_ms: u64) -> u64 {
+    for index in 0..sim.hosts.len() {
+        if index != decider {
+            sim.submit(index, &format!("after{index:011}"), "urgent", vec![step(1, 1)]);
+        }
+    }
+    sim.run_for(4_000);
+    let first = sim.observed.start_times_ms.iter().find(|start| **start > at_ms + 100);
+    first.map_or(u64::MAX, |start| start - at_ms)
+}
--- /dev/null
+++ b/crates/cell/tests/sim/worker_calls.rs
@@ -0,0 +1,179 @@
+//! The workers of the simulated cell and the calls to them.
+
+use pier_cell::effect::{StartRequest, WorkerCall, WorkerOperation};
+use pier_cell::event::{Event, PollResponse, StartResponse, WorkerReply, WorkerResponse};
+use pier_cell::run::EndKind;
+use pier_cell::worker::WorkerInfo;
+use rand::Rng;
+
+use crate::sim::worker::SimWorker;
+use crate::sim::{NETWORK_DELAY_MS, Scheduled, Sim, cores};
+
+impl Sim {
+    pub fn add_worker(&mut self, id: &str, zone: &str) {
+        let worker = SimWorker::new(id, self.now_ms, zone, cores(16));
+        self.list_worker(&worker, false);
+        self.workers.insert(id.to_owned(), worker);
+    }
+
+    pub(super) fn list_worker(&mut self, worker: &SimWorker, is_draining: bool) {
+        let entry = WorkerInfo {
+            id: worker.id.as_str().into(),
+            address: worker.id.as_str().into(),
+            service: "pool".into(),
+            zone: worker.zone.as_str().into(),
+            incarnation: worker.incarnation,
+            labels: vec!["kind".into(), "rack".into()],
+            capacity: worker.capacity,
+            is_draining,
+            remaining: None,
+        };
+        self.worker_list.push(&worker.id, Some(entry));
+    }
+
+    /// Crashes a worker: it loses its state and is removed from the worker list.
+    pub fn crash_worker(&mut self, id: &str) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.is_up = false;
+            worker.running.clear();
+        }
+        self.worker_list.push(id, None);
+    }
+
+    /// Restarts a crashed worker under the same id.
+    pub fn revive_worker(&mut self, id: &str) {
+        let zone = self.workers[id].zone.clone();
+        self.add_worker(id, &zone);
+    }
+
+    pub(super) fn call_worker(&mut self, host: usize, call: WorkerCall) {
+        let WorkerCall { target, timeout_ms, operation } = call;
+        let (worker, token) = (target.worker.clone(), target.token);
+        if self.unreachable_pairs.contains(&(host, worker.to_string())) {
+            let response = no_response(&operation);
+            let reply = Box::new(WorkerReply { worker, token, response });
+            self.send_event(host, timeout_ms, Event::WorkerReply(reply));
+            return;
+        }
+        let (after, response) = match operation {
+            WorkerOperation::Start(request) => {
+                let (task, number) = (request.task.clone(), request.number);
+                let is_late = self.rng.random_range(0..100) < self.delayed_starts_percent;
+                if is_late {
+                    let after = self.rng.random_range(2_000..8_000);
+                    let incarnation =
+                        self.workers.get(&*worker).map_or(0, |worker| worker.incarnation);
+                    let request = Box::new(request);
+                    self.push(after, Scheduled::DelayedStart { incarnation, target, request });
+                    let response = StartResponse::NoAnswer;
+                    (timeout_ms, WorkerResponse::Start { task, number, response })
+                } else {
+                    let response = self.start(&worker, token, &request);
+                    let is_lost = response == StartResponse::NoAnswer;
+                    let after = if is_lost { timeout_ms } else { self.delay(NETWORK_DELAY_MS) };
+                    (after, WorkerResponse::Start { task, number, response })
+                }
+            }
+            WorkerOperation::Stop { task, number } => {
+                let is_acknowledged = match self.reachable_worker(&worker) {
+                    Some(worker) => worker.stop(token, &task, number),
+                    None => false,
+                };
+                let after = if is_acknowledged { 2 } else { timeout_ms };
+                (after, WorkerResponse::Stop { task, number, is_acknowledged })
+            }
+            WorkerOperation::Poll { sent_at, ends_stored, lease_until_ms, wait_ms } => {
+                let now_ms = self.now_ms;
+                let response = match self.reachable_worker(&worker) {
+                    Some(worker) => worker.poll(now_ms, token, ends_stored, lease_until_ms),
+                    None => PollResponse::NoAnswer,
+                };
+                let is_quiet = matches!(
+                    &response,
+                    PollResponse::Report { ended, .. } if ended.is_empty()
+                );
+                let after = match response {
+                    PollResponse::NoAnswer => timeout_ms,
+                    // A fixed short wait, in place of one until the next end.
+                    _ if is_quiet && wait_ms > 0 => 20,
+                    _ => 2,
+                };
+                (after, WorkerResponse::Poll { sent_at, response })
+            }
+        };
+        let reply = Box::new(WorkerReply { worker, token, response });
+        self.observed.worker_calls_by_host.entry(host).and_modify(|calls| *calls += 1).or_insert(1);
+        self.send_event(host, after, Event::WorkerReply(reply));
+    }
+
+    pub(super) fn reachable_worker(&mut self, id: &str) -> Option<&mut SimWorker> {
+        if self.unreachable_workers.contains(id) {
+            return None;
+        }
+        self.workers.get_mut(id).filter(|worker| worker.is_up)
+    }
+
+    pub(super) fn start(&mut self, id: &str, token: u64, request: &StartRequest) -> StartResponse {
+        let now_ms = self.now_ms;
+        let run_ms = self.rng.random_range(self.run_ms / 2..self.run_ms * 3 / 2);
+        let kind = if self.rng.random_range(0..100) < 2 { EndKind::Failed } else { EndKind::Done };
+        let Some(spec) = self.specs.get(&*request.task.job).cloned() else {
+            self.observed
+                .violations
+                .push(format!("started {:?}, which nobody submitted", request.task));
+            return StartResponse::NoAnswer;
+        };
+        let need = spec.steps[request.task.step].need;
+        let Some(worker) = self.reachable_worker(id) else {
+            return StartResponse::NoAnswer;
+        };
+        let was_running = worker.running.contains_key(&request.task);
+        let response = worker.start(
+            now_ms,
+            token,
+            &request.task,
+            request.number,
+            request.lease_until_ms,
+            run_ms,
+            kind,
+            need,
+        );
+        if !was_running && matches!(response, StartResponse::Started { .. }) {
+            let is_over_capacity = !worker.used().fits_in(&worker.capacity);
+            let id = id.to_owned();
+            self.record_start(&id, &request.task, is_over_capacity);
+        }
+        response
+    }
+
+    pub(super) fn advance_workers(&mut self) {
+        let now_ms = self.now_ms;
+        for worker in self.workers.values_mut() {
+            worker.advance(now_ms);
+            for (task, done_at_ms) in worker.acknowledged.drain(..) {
+                let started_at_ms = self.observed.last_start_ms.get(&task).copied().unwrap_or(0);
+                if started_at_ms > done_at_ms {
+                    let broken = format!("{started_at_ms} ms: {task:?} started after done");
+                    self.observed.violations.push(broken);
+                }
+                self.observed.done.insert(task);
+            }
+        }
+    }
+}
+
+pub(super) fn no_response(operation: &WorkerOperation) -> WorkerResponse {
+    match operation {
+        WorkerOperation::Start(request) => WorkerResponse::Start {
+            task: request.task.clone(),
+            number: request.number,
+            response: StartResponse::NoAnswer,
+        },
+        WorkerOperation::Stop { task, number } => {
+            WorkerResponse::Stop { task: task.clone(), number: *number, is_acknowledged: false }
+        }
+        WorkerOperation::Poll { sent_at, .. } => {
+            WorkerResponse::Poll { sent_at: *sent_at, response: PollResponse::NoAnswer }
+        }
+    }
+}
