--- a/crates/cell/tests/random_faults.rs
+++ b/crates/cell/tests/random_faults.rs
@@ -9,6 +9,7 @@
 use sim::callers::submit_load;
 use sim::hosts::with_small_hosts;
 use sim::invariants::check_invariants;
+use sim::seeds::run_seeds;
 
 /// The number of kinds of faults of hosts, the store and workers in [`inject`].
 const FAULT_KINDS: u32 = 10;
@@ -43,29 +44,6 @@
     run_seeds(|seed| random_faults(Sim::new(seed, 4, 8), FAULT_KINDS + HOST_LINK_FAULT_KINDS));
 }
 
-fn run_seeds(run: impl Fn(u64) + std::panic::RefUnwindSafe) {
-    if std::env::var("PIER_CELL_TRACE").is_ok() {
-        let lines = tracing_subscriber::fmt().without_time().with_ansi(false).with_target(false);
-        // Another test may already have installed a subscriber.
-        let _ = lines.try_init();
-    }
-    let seeds = match std::env::var("PIER_CELL_SEEDS") {
-        Ok(range) => {
-            let (first, end) = range.split_once("..").expect("FIRST..END");
-            first.parse().expect("a seed")..end.parse().expect("a seed")
-        }
-        Err(_) => 0..24,
-    };
-    let mut failed = Vec::new();
-    for seed in seeds {
-        let result = std::panic::catch_unwind(|| run(seed));
-        if result.is_err() {
-            failed.push(seed);
-        }
-    }
-    assert_eq!(failed, Vec::<u64>::new(), "seeds that failed");
-}
-
 /// Guards against tasks that are lost or run twice where half of the hosts do not follow the log.
 #[test]
 fn guarantees_hold_under_random_faults_with_small_hosts() {
--- a/crates/cell/tests/sim/callers.rs
+++ b/crates/cell/tests/sim/callers.rs
@@ -89,7 +89,12 @@
 
 /// Submits random jobs for some seconds.
 pub fn submit_load(sim: &mut Sim, seconds: u64, count: &mut usize) {
-    for _ in 0..seconds * JOBS_PER_S {
+    submit_jobs(sim, seconds * 1_000, JOBS_PER_S, count);
+}
+
+/// Submits this many random jobs a second for some time.
+pub fn submit_jobs(sim: &mut Sim, millis: u64, jobs_per_s: u64, count: &mut usize) {
+    for _ in 0..millis * jobs_per_s / 1_000 {
         let host = sim.rng.random_range(0..sim.hosts.len());
         let tasks = sim.rng.random_range(1..4);
         let need = sim.rng.random_range(1..5);
@@ -105,6 +110,6 @@
         let queue = if sim.rng.random_range(0..2) == 0 { "urgent" } else { "batch" };
         *count += 1;
         sim.submit(host, &format!("{count:016x}"), queue, steps);
-        sim.run_for(1_000 / JOBS_PER_S);
+        sim.run_for(1_000 / jobs_per_s);
     }
 }
--- a/crates/cell/tests/sim/invariants.rs
+++ b/crates/cell/tests/sim/invariants.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use pier_cell::effect::CallerResponse;
-use pier_cell::job::{JobState, TaskRef};
+use pier_cell::job::{JobState, RunNumber, TaskRef};
 
 use crate::sim::{MAX_KEY_BYTES, Sim, step};
 
@@ -23,6 +23,8 @@
     pub cell_reads_by_host: BTreeMap<usize, u64>,
     /// The number of messages between hosts.
     pub messages: u64,
+    /// The numbers of the runs of each task that failed.
+    pub failed_runs: BTreeMap<TaskRef, BTreeSet<RunNumber>>,
     pub(super) last_start_ms: BTreeMap<TaskRef, u64>,
     pub(super) done: BTreeSet<TaskRef>,
 }
@@ -97,3 +99,22 @@
     let first = sim.observed.start_times_ms.iter().find(|start| **start > at_ms + 100);
     first.map_or(u64::MAX, |start| start - at_ms)
 }
+
+/// Checks that jobs have failed by as many failed runs of a task as their queues allow, and that no
+/// task had more.
+pub fn check_attempts(sim: &Sim, max_attempts: usize) {
+    let mut failures: BTreeMap<(String, usize, usize), usize> = BTreeMap::new();
+    for (task, runs) in &sim.observed.failed_runs {
+        let is_gang = sim.specs[&*task.job].steps[task.step].gang;
+        // The failures of all members of a gang count together.
+        let index = if is_gang { 0 } else { task.index };
+        *failures.entry((task.job.to_string(), task.step, index)).or_default() += runs.len();
+    }
+    for id in &sim.observed.accepted {
+        let counts = failures.iter().filter(|((job, ..), _)| job == id).map(|(_, count)| *count);
+        let most = counts.max().unwrap_or_default();
+        if sim.stored_state(id) == Some(JobState::Failed) {
+            assert!(most >= max_attempts, "{id} has failed after {most} failed runs of a task");
+        }
+    }
+}
--- a/crates/cell/tests/sim/mod.rs
+++ b/crates/cell/tests/sim/mod.rs
@@ -7,6 +7,7 @@
 pub mod hosts;
 pub mod invariants;
 pub mod reads;
+pub mod seeds;
 pub mod store;
 pub mod worker;
 pub mod worker_calls;
@@ -52,6 +53,10 @@
     Effect { host: usize, process_number: u64, effect: Box<Effect> },
     /// The transport's attempt to connect a host again.
     Reconnect { host: usize, process_number: u64, to: usize },
+    /// A worker's report to the worker list, if it is still in the same incarnation.
+    Report { id: String, incarnation: u64 },
+    /// An entry of the worker list, or one that cannot be decoded.
+    Entry { id: String, entry: Option<Box<WorkerInfo>> },
     /// A delayed start, which has an effect if the worker is still in the same incarnation.
     DelayedStart { incarnation: u64, target: Target, request: Box<StartRequest> },
 }
@@ -62,6 +67,10 @@
     pub rng: StdRng,
     pub hosts: Vec<SimHost>,
     pub workers: BTreeMap<String, SimWorker>,
+    /// Workers that refuse starts and polls although they run.
+    pub refusing_workers: BTreeSet<String>,
+    /// The percentage of runs that fail.
+    pub failed_runs_percent: u32,
     /// Workers that no host can reach.
     pub unreachable_workers: BTreeSet<String>,
     /// Pairs of a host and a worker that cannot reach each other.
@@ -133,6 +142,8 @@
             rng: StdRng::seed_from_u64(seed),
             hosts: Vec::new(),
             workers: BTreeMap::new(),
+            refusing_workers: BTreeSet::new(),
+            failed_runs_percent: 2,
             unreachable_workers: BTreeSet::new(),
             unreachable_pairs: BTreeSet::new(),
             options,
@@ -235,6 +246,10 @@
                         self.open_connection(host, to);
                     }
                 }
+                Scheduled::Report { id, incarnation } => self.report(&id, incarnation),
+                Scheduled::Entry { id, entry } => {
+                    self.worker_list.push(&id, entry.map(|entry| *entry));
+                }
                 Scheduled::DelayedStart { incarnation, target, request } => {
                     if self
                         .workers
--- a/crates/cell/tests/sim/worker.rs
+++ b/crates/cell/tests/sim/worker.rs
@@ -30,6 +30,8 @@
     pub ended: Vec<ListedEnd>,
     done_at_ms: BTreeMap<u64, u64>,
     lapsed_at_ms: u64,
+    /// The task and the number of runs that failed, until the simulation has taken them.
+    pub failed: Vec<(TaskRef, RunNumber)>,
     /// The task and the end time of runs that completed and whose end was acknowledged.
     pub acknowledged: Vec<(TaskRef, u64)>,
     /// The highest run number of each task that has ended or was stopped; no run up to it may
@@ -52,6 +54,7 @@
             ended: Vec::new(),
             done_at_ms: BTreeMap::new(),
             lapsed_at_ms: 0,
+            failed: Vec::new(),
             acknowledged: Vec::new(),
             closed_runs: BTreeMap::new(),
             sequence: 0,
@@ -75,6 +78,9 @@
         let Some(run) = self.running.remove(task) else {
             return;
         };
+        if kind == EndKind::Failed {
+            self.failed.push((task.clone(), run.number));
+        }
         self.sequence += 1;
         let closed_run = self.closed_runs.entry(task.clone()).or_default();
         *closed_run = (*closed_run).max(run.number);
--- a/crates/cell/tests/sim/worker_calls.rs
+++ b/crates/cell/tests/sim/worker_calls.rs
@@ -1,7 +1,9 @@
 //! The workers of the simulated cell and the calls to them.
 
 use pier_cell::effect::{StartRequest, WorkerCall, WorkerOperation};
-use pier_cell::event::{Event, PollResponse, StartResponse, WorkerReply, WorkerResponse};
+use pier_cell::event::{
+    Event, PollResponse, RejectReason, StartResponse, WorkerReply, WorkerResponse,
+};
 use pier_cell::run::EndKind;
 use pier_cell::worker::WorkerInfo;
 use rand::Rng;
@@ -17,18 +19,7 @@
     }
 
     pub(super) fn list_worker(&mut self, worker: &SimWorker, is_draining: bool) {
-        let entry = WorkerInfo {
-            id: worker.id.as_str().into(),
-            address: worker.id.as_str().into(),
-            service: "pool".into(),
-            zone: worker.zone.as_str().into(),
-            incarnation: worker.incarnation,
-            labels: vec!["kind".into(), "rack".into()],
-            capacity: worker.capacity,
-            is_draining,
-            remaining: None,
-        };
-        self.worker_list.push(&worker.id, Some(entry));
+        self.worker_list.push(&worker.id, Some(entry(worker, is_draining)));
     }
 
     /// Crashes a worker: it loses its state and is removed from the worker list.
@@ -46,6 +37,45 @@
         self.add_worker(id, &zone);
     }
 
+    /// Restarts a worker under its id, with a gap in which it is down. The worker list shows its
+    /// earlier incarnation once more, and the new one when the worker reports.
+    pub fn restart_worker(&mut self, id: &str, down_ms: u64, report_after_ms: u64) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.is_up = false;
+            worker.running.clear();
+        }
+        let earlier = entry(&self.workers[id], false);
+        self.run_for(down_ms);
+        let (zone, capacity) = (self.workers[id].zone.clone(), self.workers[id].capacity);
+        let incarnation = self.now_ms;
+        self.workers.insert(id.to_owned(), SimWorker::new(id, incarnation, &zone, capacity));
+        let shown_after_ms = self.rng.random_range(0..report_after_ms);
+        self.push(
+            shown_after_ms,
+            Scheduled::Entry { id: id.to_owned(), entry: Some(Box::new(earlier)) },
+        );
+        self.push(report_after_ms, Scheduled::Report { id: id.to_owned(), incarnation });
+    }
+
+    /// Writes an entry of another writer under a worker's id, with this incarnation or, with none,
+    /// one that cannot be decoded. The worker's next report replaces it.
+    pub fn write_foreign_entry(&mut self, id: &str, foreign: Option<u64>, replaced_after_ms: u64) {
+        let worker = &self.workers[id];
+        let incarnation = worker.incarnation;
+        let entry =
+            foreign.map(|foreign| WorkerInfo { incarnation: foreign, ..entry(worker, false) });
+        self.worker_list.push(id, entry);
+        self.push(replaced_after_ms, Scheduled::Report { id: id.to_owned(), incarnation });
+    }
+
+    /// Lets a worker report itself to the worker list, if it is up in this incarnation.
+    pub(super) fn report(&mut self, id: &str, incarnation: u64) {
+        let worker = &self.workers[id];
+        if worker.is_up && worker.incarnation == incarnation {
+            self.worker_list.push(id, Some(entry(worker, false)));
+        }
+    }
+
     pub(super) fn call_worker(&mut self, host: usize, call: WorkerCall) {
         let WorkerCall { target, timeout_ms, operation } = call;
         let (worker, token) = (target.worker.clone(), target.token);
@@ -84,7 +114,8 @@
             }
             WorkerOperation::Poll { sent_at, ends_stored, lease_until_ms, wait_ms } => {
                 let now_ms = self.now_ms;
-                let response = match self.reachable_worker(&worker) {
+                let is_refusing = self.refusing_workers.contains(&*worker);
+                let response = match self.reachable_worker(&worker).filter(|_| !is_refusing) {
                     Some(worker) => worker.poll(now_ms, token, ends_stored, lease_until_ms),
                     None => PollResponse::NoAnswer,
                 };
@@ -93,6 +124,7 @@
                     PollResponse::Report { ended, .. } if ended.is_empty()
                 );
                 let after = match response {
+                    PollResponse::NoAnswer if is_refusing => 2,
                     PollResponse::NoAnswer => timeout_ms,
                     // A fixed short wait, in place of one until the next end.
                     _ if is_quiet && wait_ms > 0 => 20,
@@ -116,7 +148,11 @@
     pub(super) fn start(&mut self, id: &str, token: u64, request: &StartRequest) -> StartResponse {
         let now_ms = self.now_ms;
         let run_ms = self.rng.random_range(self.run_ms / 2..self.run_ms * 3 / 2);
-        let kind = if self.rng.random_range(0..100) < 2 { EndKind::Failed } else { EndKind::Done };
+        let is_failing = self.rng.random_range(0..100) < self.failed_runs_percent;
+        let kind = if is_failing { EndKind::Failed } else { EndKind::Done };
+        if self.refusing_workers.contains(id) {
+            return StartResponse::Rejected { reason: RejectReason::Refused };
+        }
         let Some(spec) = self.specs.get(&*request.task.job).cloned() else {
             self.observed
                 .violations
@@ -150,6 +186,9 @@
         let now_ms = self.now_ms;
         for worker in self.workers.values_mut() {
             worker.advance(now_ms);
+            for (task, number) in worker.failed.drain(..) {
+                self.observed.failed_runs.entry(task).or_default().insert(number);
+            }
             for (task, done_at_ms) in worker.acknowledged.drain(..) {
                 let started_at_ms = self.observed.last_start_ms.get(&task).copied().unwrap_or(0);
                 if started_at_ms > done_at_ms {
@@ -162,6 +201,21 @@
     }
 }
 
+/// The entry of a worker in the worker list.
+fn entry(worker: &SimWorker, is_draining: bool) -> WorkerInfo {
+    WorkerInfo {
+        id: worker.id.as_str().into(),
+        address: worker.id.as_str().into(),
+        service: "pool".into(),
+        zone: worker.zone.as_str().into(),
+        incarnation: worker.incarnation,
+        labels: vec!["kind".into(), "rack".into()],
+        capacity: worker.capacity,
+        is_draining,
+        remaining: None,
+    }
+}
+
 pub(super) fn no_response(operation: &WorkerOperation) -> WorkerResponse {
     match operation {
         WorkerOperation::Start(request) => WorkerResponse::Start {
