--- a/crates/cell/tests/missed_polls.rs
+++ b/crates/cell/tests/missed_polls.rs
@@ -5,26 +5,15 @@
 
 use std::time;
 
-use pier_cell::effect::{Effect, WorkerOperation};
 use pier_cell::event::{PollResponse, RejectReason, StartResponse};
 use pier_cell::job::TaskRef;
 
-use fixture::{Fixture, count_starts, queue, single_step, worker_call};
+use fixture::{Fixture, count_starts, polls_of, queue, single_step};
 
 /// The longest delay between two polls of a worker that does not respond, with its spread, and one
 /// pass more.
 const MAX_POLL_DELAY: time::Duration = time::Duration::from_millis(1_450);
 
-fn polls_of(effects: &[Effect]) -> Vec<time::Duration> {
-    let mut polls = Vec::new();
-    for effect in effects {
-        if let Some((_, WorkerOperation::Poll { sent_at, .. })) = worker_call(effect) {
-            polls.push(*sent_at);
-        }
-    }
-    polls
-}
-
 /// Starts the run of a job on the only worker, which rejects the start and fails the poll that the
 /// start made due, so that it has no run and a failed poll.
 fn fixture_with_missed_poll() -> (Fixture, TaskRef) {
--- a/crates/cell/tests/worker_incarnations.rs
+++ b/crates/cell/tests/worker_incarnations.rs
@@ -5,14 +5,14 @@
 
 use std::time;
 
-use pier_cell::effect::{Effect, WorkerOperation};
+use pier_cell::effect::WorkerOperation;
 use pier_cell::event::{ListedEnd, ListedRun, PollResponse, StartResponse, WorkerRecord};
 use pier_cell::follower::FollowerUpdate;
 use pier_cell::job::{JobState, TaskRef};
 use pier_cell::run::EndKind;
 use pier_cell::worker::WorkerIncarnation;
 
-use fixture::{Fixture, queue, record, single_step, worker_call};
+use fixture::{Fixture, polls_of, queue, record, single_step, worker_call};
 
 /// The incarnation in the records and reports of the fixture.
 const KNOWN: WorkerIncarnation = 1;
@@ -38,16 +38,6 @@
     ListedRun { task: task.clone(), number, checkpoint: None, percent: None }
 }
 
-fn polls_of(effects: &[Effect]) -> Vec<time::Duration> {
-    let mut polls = Vec::new();
-    for effect in effects {
-        if let Some((_, WorkerOperation::Poll { sent_at, .. })) = worker_call(effect) {
-            polls.push(*sent_at);
-        }
-    }
-    polls
-}
-
 /// Advances until a poll is sent, storing appends. Returns when it was sent.
 fn advance_to_poll(fixture: &mut Fixture) -> Vec<time::Duration> {
     for _ in 0..100 {
