review: reset the decider while its append is unanswered

The script of case 6 waits for an append that was carried out and whose answer is on its way, and resets the host's connections to the store then and once more a quarter of a second later.

--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -1,7 +1,6 @@
 //! The cases. Each returns none if it could not run.
 
 use std::env;
-use std::ops::Range;
 use std::path::Path;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
@@ -326,13 +325,14 @@
         const SHORT_JOBS: usize = 2_998;
         const LONG_JOBS: usize = 900;
         const CLIENTS: usize = 12;
-        const ROUNDS: Range<u32> = 0..17;
+        // The store is slow for at most 4.5 s at a time.
         const SLOW_LIMIT: Duration = Duration::from_millis(4_400);
-        const EPISODES_PER_ROUND: usize = 2;
-        const RESETS_LIMIT: Duration = Duration::from_millis(800);
-        // In this time a host reads all pages of the newest records from the slow store.
-        const READING_TIME: Duration = Duration::from_millis(1_400);
         const PAUSE: Duration = Duration::from_millis(500);
+        const LAST_ROUND_AT: Duration = Duration::from_secs(100);
+        const APPEND_LIMIT: Duration = Duration::from_millis(600);
+        const EPISODE_LIMIT: Duration = Duration::from_millis(2_000);
+        // In this time a host reads all pages of the newest records from the slow store.
+        const READING_TIME: Duration = Duration::from_millis(2_000);
         self.add_workers(["north", "south", "east", "north"]);
         self.record.be_brief();
         // The first step is done soon. The second one works on to the end of the case.
@@ -371,32 +371,27 @@
         }
         self.record.write("workers: the first step of each job has ended done");
         thread::sleep(Duration::from_secs(2));
-        for round in ROUNDS {
+        while self.record.now() < LAST_ROUND_AT && self.workers.starts_after_done().is_empty() {
             self.store.set_slow(has_trouble);
             let slow_until = Instant::now() + SLOW_LIMIT;
-            for _ in 0..EPISODES_PER_ROUND {
+            let slow_left = || slow_until.saturating_duration_since(Instant::now());
+            while slow_left() >= EPISODE_LIMIT {
                 thread::sleep(Duration::from_millis(self.random.in_range(150..300)));
                 let decider = self.cell.decider().filter(|_| has_trouble);
                 if let Some(host) = decider.map(|index| &self.cell.hosts[index]) {
                     self.record.write(&format!(
-                        "round {round}: the store is slow, {} decides, and its connections to the \
-                         store are reset",
+                        "the store is slow, {} decides, and its connections to the store are reset",
                         host.name
                     ));
-                    let until = Instant::now() + RESETS_LIMIT;
-                    while host.is_decider() && Instant::now() < until {
-                        host.reset_store_connections();
-                        thread::sleep(Duration::from_millis(self.random.in_range(100..300)));
-                    }
+                    host.wait_for_unanswered_append(APPEND_LIMIT);
+                    host.reset_store_connections();
+                    thread::sleep(Duration::from_millis(self.random.in_range(200..260)));
+                    host.reset_store_connections();
                 }
-                let slow_left = slow_until.saturating_duration_since(Instant::now());
-                thread::sleep(slow_left.min(READING_TIME));
+                thread::sleep(slow_left().min(READING_TIME));
             }
             self.store.set_slow(false);
             thread::sleep(PAUSE);
-            if !self.workers.starts_after_done().is_empty() {
-                break;
-            }
         }
         // Ends that are not taken note of yet count if they are later.
         thread::sleep(Duration::from_secs(3));
--- a/review/standin-2/src/cell.rs
+++ b/review/standin-2/src/cell.rs
@@ -6,12 +6,13 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{self, Child, Command, Stdio};
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::http::{Call, Connections};
+use crate::http::Call;
 use crate::record::Record;
-use crate::store::Store;
+use crate::store::{HostAccess, Store};
 
 const PROGRAM: &str = "target/release/pier-platform";
 const START_LIMIT: Duration = Duration::from_secs(20);
@@ -25,8 +26,7 @@
     pub callers: SocketAddr,
     ready: SocketAddr,
     process: Child,
-    /// The host's connections to the store.
-    store_connections: Connections,
+    store_access: HostAccess,
 }
 
 impl Drop for Host {
@@ -48,9 +48,19 @@
         self.status("/metrics").is_some_and(|(_, text)| text.contains("pier_is_decider 1"))
     }
 
+    /// Waits until an append of the host has been carried out and its response is on its way.
+    pub fn wait_for_unanswered_append(&self, limit: Duration) {
+        let until = Instant::now() + limit;
+        while !self.store_access.is_append_unanswered.load(Ordering::Relaxed)
+            && Instant::now() < until
+        {
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     /// Ends all of the host's connections to the store.
     pub fn reset_store_connections(&self) {
-        self.store_connections.reset();
+        self.store_access.connections.reset();
     }
 
     /// Sends a signal, by the name that the command `kill` knows.
@@ -114,7 +124,8 @@
     let name = format!("front-{zone}-1");
     let (callers, ready) = (free_address(index)?, free_address(index)?);
     let (peers, metrics) = (free_address(index)?, free_address(index)?);
-    let (store_address, store_connections) = store.serve();
+    let store_access = store.serve();
+    let store_address = store_access.address;
     let settings = format!(
         r#"{{
   host: "{name}",
@@ -148,5 +159,5 @@
         .stderr(Stdio::null())
         .spawn()?;
     note_process(&process)?;
-    Ok(Host { name, zone: zone.to_owned(), callers, ready, process, store_connections })
+    Ok(Host { name, zone: zone.to_owned(), callers, ready, process, store_access })
 }
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -15,13 +15,22 @@
 /// How long a response takes, in milliseconds.
 const RESPONSE_MS: Range<u64> = 4..5;
 /// The same while the store is slow: up to 60 times as long.
-const SLOW_RESPONSE_MS: Range<u64> = 8..240;
+const SLOW_RESPONSE_MS: Range<u64> = 20..240;
+const APPEND_PATH: &str = "/persimmonpier/log-append";
 /// The most records on a page of the newest ones.
 const PAGE_ITEMS: usize = 500;
 
 /// The records of a topic: key and value. An empty value removes the key.
 type Records = Vec<(String, Vec<u8>)>;
 
+/// A host's way to the store.
+pub struct HostAccess {
+    pub address: SocketAddr,
+    pub connections: Connections,
+    /// Whether an append of the host has been carried out and its response is on its way.
+    pub is_append_unanswered: Arc<AtomicBool>,
+}
+
 /// A running store.
 #[derive(Clone)]
 pub struct Store {
@@ -36,12 +45,15 @@
     }
 
     /// Serves a host on a free loopback port until the process ends.
-    pub fn serve(&self) -> (SocketAddr, Connections) {
+    pub fn serve(&self) -> HostAccess {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
         let store = self.clone();
-        let connections = http::serve(listener, move |request| Some(store.respond(&request)));
-        (address, connections)
+        let is_append_unanswered = Arc::<AtomicBool>::default();
+        let unanswered = Arc::clone(&is_append_unanswered);
+        let connections =
+            http::serve(listener, move |request| Some(store.respond(&request, &unanswered)));
+        HostAccess { address, connections, is_append_unanswered }
     }
 
     /// Makes the store slow, or fast again.
@@ -58,20 +70,27 @@
         changed.notify_all();
     }
 
-    fn respond(&self, request: &Request) -> Response {
+    fn respond(&self, request: &Request, is_append_unanswered: &AtomicBool) -> Response {
         let is_slow = self.is_slow.load(Ordering::Relaxed);
         let delay_ms = self.random.in_range(if is_slow { SLOW_RESPONSE_MS } else { RESPONSE_MS });
         // The call is carried out half-way, so that an end of the connection may come after it.
         let half = Duration::from_millis(delay_ms) / 2;
         thread::sleep(half);
         let response = self.carry_out(request);
+        let is_append = request.path == APPEND_PATH;
+        if is_append {
+            is_append_unanswered.store(true, Ordering::Relaxed);
+        }
         thread::sleep(half);
+        if is_append {
+            is_append_unanswered.store(false, Ordering::Relaxed);
+        }
         response
     }
 
     fn carry_out(&self, request: &Request) -> Response {
         let response = match (request.method.as_str(), request.path.as_str()) {
-            ("POST", "/persimmonpier/log-append") => self.append(request),
+            ("POST", APPEND_PATH) => self.append(request),
             ("GET", "/persimmonpier/log-read") => self.read(request),
             ("GET", "/persimmonpier/log-newest") => self.newest(request),
             _ => None,
