Describe scheduling under overload, and add the interfaces of its parts

Cause: on deployments whose workers are full, everything is accepted, gangs starve batch work of advice, and room is neither divided nor taken back (docs/design/hard-load.md, section 1). Change: the design page, an empty crate pier-load with the interfaces of the forecast, settings that switch each part on, and the report that the decider gives to metrics. All parts are off; nothing decides differently. Result: the workspace builds; no behaviour was changed or measured.

--- a/crates/cell/src/decider/mod.rs
+++ b/crates/cell/src/decider/mod.rs
@@ -20,6 +20,7 @@
 use crate::declaration::Declaration;
 use crate::effect::{Effect, Target};
 use crate::job::{AccountId, JobState, RunNumber, StepIndex, TaskRef};
+use crate::load_report::LoadReport;
 use crate::options::Options;
 use crate::peer::{Message, PeerInfo, RequestOutcome};
 use crate::progress::Phase;
@@ -33,11 +34,13 @@
 mod append;
 mod availability;
 mod dispatch;
+mod forecast;
 mod polls;
 mod relay;
 mod requests;
 mod run_times;
 mod schedule;
+mod shares;
 mod takeover;
 
 /// The inputs and outputs of the decider besides its own state.
@@ -180,6 +183,7 @@
     /// Workers that are reserved for a gang, with the priority of its queue.
     worker_reservations: Map<ids::WorkerId, (ids::JobId, StepIndex, u32)>,
     local_outcomes: Vec<(ids::Ticket, RequestOutcome)>,
+    load_report: LoadReport,
     /// The claim that releases the decider role, set when the host shuts down.
     release: Option<Claim>,
     deposed: Option<&'static str>,
@@ -206,6 +210,11 @@
         std::mem::take(&mut self.local_outcomes)
     }
 
+    /// Takes the report of decisions under load since the last one.
+    pub fn take_load_report(&mut self) -> LoadReport {
+        std::mem::take(&mut self.load_report)
+    }
+
     /// Whether all changes of the job are stored in the log.
     pub fn is_stored(&self, job: &str) -> bool {
         !self.dirty.contains(job)
--- a/crates/cell/src/decider/takeover.rs
+++ b/crates/cell/src/decider/takeover.rs
@@ -10,6 +10,7 @@
 use crate::event::WorkerRecord;
 use crate::follower::FollowerUpdate;
 use crate::job::TaskRef;
+use crate::load_report::LoadReport;
 use crate::peer::PeerInfo;
 use crate::progress::Phase;
 use crate::run::{Run, RunPhase};
@@ -74,6 +75,7 @@
             peers: BTreeMap::new(),
             worker_reservations: Map::default(),
             local_outcomes: Vec::new(),
+            load_report: LoadReport::default(),
             release: None,
             deposed: None,
         };
--- a/crates/cell/src/host/mod.rs
+++ b/crates/cell/src/host/mod.rs
@@ -13,6 +13,7 @@
 use crate::effect::Effect;
 use crate::event::{Event, OperatorRecord, ReadResponse, WorkerRecord};
 use crate::follower::{Follower, FollowerUpdate, ReadError, Topic};
+use crate::load_report::LoadReport;
 use crate::options::Options;
 use crate::peer::{Message, PeerInfo};
 use crate::record::{BatchHeader, Claim, Record};
@@ -168,6 +169,15 @@
         matches!(self.role, Role::Deciding(_))
     }
 
+    /// Takes the report of the decider's decisions under load since the last one. None if the host
+    /// is not the decider.
+    pub fn take_load_report(&mut self) -> Option<LoadReport> {
+        match &mut self.role {
+            Role::Deciding(decider) => Some(decider.take_load_report()),
+            _ => None,
+        }
+    }
+
     /// Whether the host has finished its shutdown: no caller waits and it is not the decider.
     pub fn is_finished(&self) -> bool {
         self.is_stopping && self.requests.is_empty() && !self.is_decider()
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod follower;
 pub mod host;
 pub mod job;
+pub mod load_report;
 pub mod options;
 pub mod peer;
 pub mod place;
--- a/crates/cell/src/options.rs
+++ b/crates/cell/src/options.rs
@@ -81,6 +81,27 @@
     /// The factor by which tasks run longer away from their data or, for gangs, across several
     /// racks.
     pub remote_slowdown: f64,
+    /// Which parts of load control are in use.
+    pub load: LoadOptions,
+}
+
+/// Which parts of load control are in use. Without a part the decider behaves as if it did not
+/// exist. See docs/design/hard-load.md.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LoadOptions {
+    /// Submissions that cannot end in time are rejected by forecast.
+    pub admission: bool,
+    /// The capacity is divided by the accounts' weights while the workers are full.
+    pub shares: bool,
+    /// Gangs gather room on several workers, and advice requests are shared out.
+    pub gangs: bool,
+    /// Runs are preempted for work that would otherwise miss its objective.
+    pub reclaim: bool,
+}
+
+impl LoadOptions {
+    /// All parts.
+    pub const ALL: Self = Self { admission: true, shares: true, gangs: true, reclaim: true };
 }
 
 impl Default for Options {
@@ -119,6 +140,7 @@
             max_record_bytes: 262_144,
             max_append_bytes: 2_097_152,
             remote_slowdown: 3.0,
+            load: LoadOptions::default(),
         }
     }
 }
--- /dev/null
+++ b/crates/load/src/gangs.rs
@@ -0,0 +1,1 @@
+//! Plans where and when a gang that does not fit now has room.
--- /dev/null
+++ b/crates/load/src/reclaim.rs
@@ -0,0 +1,1 @@
+//! Chooses runs to preempt for work that would otherwise miss its objective.
--- /dev/null
+++ b/crates/load/src/shares.rs
@@ -0,0 +1,1 @@
+//! Divides the capacity among accounts by weighted max-min fairness.
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -69,6 +69,9 @@
             }
         }
         metrics.record_step(clock.now().saturating_sub(now), host.is_decider());
+        if let Some(report) = host.take_load_report() {
+            metrics.record_load(&report);
+        }
         let Some(since) = shutdown_began else {
             continue;
         };
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic;
 use std::time;
 
+use pier_cell::load_report::LoadReport;
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -22,6 +23,7 @@
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
+    load: LoadMetrics,
     events: Counter,
     step_times: Histogram,
     calls: Family<Labels, Counter>,
@@ -33,6 +35,112 @@
     worker_connect_failures: Family<Labels, Counter>,
 }
 
+/// Metrics of the decider's decisions under load.
+#[derive(Debug)]
+struct LoadMetrics {
+    rejections: Family<Labels, Counter>,
+    forecast_errors: Family<Labels, Histogram, fn() -> Histogram>,
+    share_ppm: Family<Labels, Gauge>,
+    gangs: Family<Labels, Gauge>,
+    gang_ends: Family<Labels, Counter>,
+    preempted: Family<Labels, Counter>,
+    preempted_core_s: Family<Labels, Counter<f64, atomic::AtomicU64>>,
+    adviser_busy_hosts: Gauge,
+}
+
+impl LoadMetrics {
+    fn register(registry: &mut Registry) -> Self {
+        let new_histogram: fn() -> Histogram = time_histogram;
+        let metrics = Self {
+            rejections: Family::default(),
+            forecast_errors: Family::new_with_constructor(new_histogram),
+            share_ppm: Family::default(),
+            gangs: Family::default(),
+            gang_ends: Family::default(),
+            preempted: Family::default(),
+            preempted_core_s: Family::default(),
+            adviser_busy_hosts: Gauge::default(),
+        };
+        registry.register(
+            "rejections",
+            "Rejected submissions by reason and queue",
+            metrics.rejections.clone(),
+        );
+        registry.register_with_unit(
+            "forecast_error",
+            "Absolute difference between the first start of a job and its forecast",
+            Unit::Seconds,
+            metrics.forecast_errors.clone(),
+        );
+        registry.register(
+            "share_ppm",
+            "Entitled and used shares of the capacity by account",
+            metrics.share_ppm.clone(),
+        );
+        registry.register("gangs", "Gangs that wait, by state", metrics.gangs.clone());
+        registry.register(
+            "gang_ends",
+            "Runs of gangs that ended before they were done, by cause",
+            metrics.gang_ends.clone(),
+        );
+        registry.register("reclaimed", "Preempted runs by cause", metrics.preempted.clone());
+        registry.register(
+            "reclaimed_core_seconds",
+            "Work lost by preemption, by cause",
+            metrics.preempted_core_s.clone(),
+        );
+        registry.register(
+            "adviser_busy_hosts",
+            "Hosts with an open advice request",
+            metrics.adviser_busy_hosts.clone(),
+        );
+        metrics
+    }
+
+    fn record(&self, report: &LoadReport) {
+        let label = |name: &str, value: &str| (name.to_owned(), value.to_owned());
+        for (reason, queue) in &report.rejections {
+            let labels = vec![label("reason", reason), label("queue", queue)];
+            self.rejections.get_or_create(&labels).inc();
+        }
+        for (queue, error) in &report.forecast_errors {
+            let labels = vec![label("queue", queue)];
+            self.forecast_errors.get_or_create(&labels).observe(error.as_secs_f64());
+        }
+        for cause in &report.gang_ends {
+            self.gang_ends.get_or_create(&vec![label("cause", cause)]).inc();
+        }
+        for preempted in &report.preempted {
+            let labels = vec![label("cause", &preempted.cause.to_string())];
+            self.preempted.get_or_create(&labels).inc();
+            self.preempted_core_s.get_or_create(&labels).inc_by(preempted.lost_core_s);
+        }
+        let Some(levels) = &report.levels else {
+            return;
+        };
+        let gauge = |amount: usize| i64::try_from(amount).unwrap_or(i64::MAX);
+        self.adviser_busy_hosts.set(gauge(levels.busy_adviser_hosts));
+        for (state, count) in
+            [("waiting", levels.waiting_gangs), ("gathering", levels.gathering_gangs)]
+        {
+            self.gangs.get_or_create(&vec![label("state", state)]).set(gauge(count));
+        }
+        // Accounts that are not listed any more have no share.
+        self.share_ppm.clear();
+        for share in &levels.shares {
+            for (kind, ppm) in [("entitled", share.entitled_ppm), ("used", share.used_ppm)] {
+                let labels = vec![label("account", &share.account), label("kind", kind)];
+                let ppm = i64::try_from(ppm).unwrap_or(i64::MAX);
+                self.share_ppm.get_or_create(&labels).set(ppm);
+            }
+        }
+    }
+}
+
+fn time_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKET_COUNT))
+}
+
 /// An open connection to a worker, counted until this is dropped.
 #[derive(Debug)]
 pub struct OpenWorkerConnection(Gauge<i64, atomic::AtomicI64>);
@@ -45,8 +153,6 @@
 
 impl Default for Metrics {
     fn default() -> Self {
-        let time_histogram =
-            || Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKET_COUNT));
         let mut registry = Registry::with_prefix("pier");
         let events = Counter::default();
         registry.register("events", "Events that the host has taken", events.clone());
@@ -83,8 +189,10 @@
             "Failed attempts to connect to a worker by cause",
             worker_connect_failures.clone(),
         );
+        let load = LoadMetrics::register(&mut registry);
         Self {
             registry,
+            load,
             events,
             step_times,
             calls,
@@ -106,6 +214,11 @@
         self.is_decider.set(i64::from(is_decider));
     }
 
+    /// Records what the decider reports of its decisions under load.
+    pub fn record_load(&self, report: &LoadReport) {
+        self.load.record(report);
+    }
+
     /// Records the result and the duration of a call to an external system.
     pub fn record_call(&self, system: &str, result: &str, took: time::Duration) {
         let system = ("system".to_owned(), system.to_owned());
