Stop a gang as soon as one of its members will not start

Cause: when a start had no response and the worker did not list the run, only that run was stopped. The other members of the gang were stopped when the run counted as lost, after an acknowledged stop and one more poll. Change: the stop of a member that its worker does not list stops the other members too. The member counts as before until it is certainly not alive. The fixture of unanswered_starts keeps the stopped tasks as a set, because a stop without a response is repeated.

--- a/crates/cell/src/decider/dispatch.rs
+++ b/crates/cell/src/decider/dispatch.rs
@@ -286,9 +286,9 @@
         self.stop_gang(context, task);
     }
 
-    /// Members of a gang can make progress only together. When one is lost, the others are stopped
-    /// and start requests that were not sent yet are dropped.
-    fn stop_gang(&mut self, context: &mut Context<'_>, task: &TaskRef) {
+    /// Members of a gang can make progress only together. When one is lost or will not start, the
+    /// others are stopped and start requests that were not sent yet are dropped.
+    pub(super) fn stop_gang(&mut self, context: &mut Context<'_>, task: &TaskRef) {
         let Some(job) = context.cell_state.live.get(&task.job) else {
             return;
         };
--- a/crates/cell/src/decider/polls.rs
+++ b/crates/cell/src/decider/polls.rs
@@ -387,9 +387,11 @@
         for task in lost {
             self.mark_run_lost(context, &task, "the worker does not list the run");
         }
-        // The start request may still arrive. A stop request prevents the run.
+        // The start request may still arrive. A stop request prevents the run. The other members of a
+        // gang do not wait until it is acknowledged: this one will not join them.
         for task in unconfirmed {
             self.stop_run(&task);
+            self.stop_gang(context, &task);
         }
     }
 
--- a/crates/cell/tests/unanswered_starts.rs
+++ b/crates/cell/tests/unanswered_starts.rs
@@ -3,6 +3,7 @@
 
 mod fixture;
 
+use std::collections::BTreeSet;
 use std::time;
 
 use pier_cell::effect::{Effect, WorkerOperation};
@@ -22,16 +23,24 @@
     polls: Vec<(String, time::Duration, time::Duration)>,
     /// The task whose start is lost, until it has been stopped.
     lost: Option<TaskRef>,
-    stopped: Vec<TaskRef>,
+    /// Whether stops of that task get responses.
+    are_stops_answered: bool,
+    stopped: BTreeSet<TaskRef>,
 }
 
 impl Workers {
     /// A gang of which one member's start gets no response.
-    fn with_a_lost_start() -> Self {
+    fn with_a_lost_start(are_stops_answered: bool) -> Self {
         let mut fixture = Fixture::new(queue(None));
         fixture.list_workers(&WORKERS);
         let task = fixture.submit(single_step(WORKERS.len(), true));
-        let mut workers = Self { fixture, polls: Vec::new(), lost: None, stopped: Vec::new() };
+        let mut workers = Self {
+            fixture,
+            polls: Vec::new(),
+            lost: None,
+            are_stops_answered,
+            stopped: BTreeSet::new(),
+        };
         let effects = workers.fixture.advance(30);
         let starts = workers.fixture.complete_appends(&effects);
         assert_eq!(count_starts(&starts), WORKERS.len());
@@ -68,10 +77,12 @@
                     });
                 }
                 WorkerOperation::Stop { task, number } => {
-                    self.stopped.push(task.clone());
+                    self.stopped.insert(task.clone());
+                    let is_acknowledged =
+                        self.are_stops_answered || self.lost.as_ref() != Some(task);
                     let (task, number) = (task.clone(), *number);
                     self.fixture.with_decider(|decider, context| {
-                        decider.on_stop_response(context, &task, number, true);
+                        decider.on_stop_response(context, &task, number, is_acknowledged);
                     });
                 }
             }
@@ -130,9 +141,18 @@
 /// looked for the run only after the long polls in progress (review/9, GANG).
 #[test]
 fn a_gang_with_a_lost_start_is_stopped_before_its_members_end_alone() {
-    let mut workers = Workers::with_a_lost_start();
+    let mut workers = Workers::with_a_lost_start(true);
     workers.run_until_stopped(GANG_WAIT);
-    let mut stopped: Vec<usize> = workers.stopped.iter().map(|task| task.index).collect();
-    stopped.sort_unstable();
+    let stopped: Vec<usize> = workers.stopped.iter().map(|task| task.index).collect();
+    assert_eq!(stopped, [0, 1, 2]);
+}
+
+/// Guards against members of a gang that wait while the stop of one whose start was lost gets no
+/// response either (seed 71892 of `random_declarations`).
+#[test]
+fn a_gang_is_stopped_although_the_stop_of_its_lost_member_has_no_response() {
+    let mut workers = Workers::with_a_lost_start(false);
+    workers.run_until_stopped(GANG_WAIT);
+    let stopped: Vec<usize> = workers.stopped.iter().map(|task| task.index).collect();
     assert_eq!(stopped, [0, 1, 2]);
 }
