Learn run times and forecast starts in the decider

Change: pier_load::run_times learns run times per queue, pier_load::forecast plays the waiting steps through on a pool. The decider builds a forecast for each service and each account near its limit in each pass, corrects it by the errors of each queue, and records what it has learned as `load`. With all parts of load control off nothing changes.

--- a/crates/cell/src/cell_state.rs
+++ b/crates/cell/src/cell_state.rs
@@ -7,7 +7,7 @@
 
 use crate::job::{JobSpec, JobState, Requester};
 use crate::progress::Progress;
-use crate::record::{Change, Claim, EndedJob, JobRecord, Record, Withdrawal};
+use crate::record::{Change, Claim, EndedJob, JobRecord, LoadRecord, Record, Withdrawal};
 
 /// A job that has not ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -41,6 +41,8 @@
     /// The ids of jobs that were cancelled before a submission of them arrived. To callers
     /// these jobs do not exist.
     pub withdrawn: BTreeMap<ids::JobId, Withdrawal>,
+    /// What deciders have learned about the load.
+    pub load: Option<LoadRecord>,
 }
 
 impl CellState {
@@ -62,6 +64,7 @@
                     claim.map(|claim| LoggedClaim { claim, token: offset.saturating_add(1) });
             }
             Change::BatchHeader(_) => {}
+            Change::Load(learned) => self.load = learned,
             Change::Job(id, None) => {
                 self.live.remove(&id);
                 self.ended.remove(&id);
--- a/crates/cell/src/decider/adviser.rs
+++ b/crates/cell/src/decider/adviser.rs
@@ -263,6 +263,15 @@
             tracing::warn!(job = %request.job, step = request.step, host = request.host.as_deref(),
                 "no response to the advice request");
         }
+        if let Some(response) = response {
+            self.learn_eligible_share(
+                context,
+                &request.job,
+                request.step,
+                &request.workers,
+                response,
+            );
+        }
         if let Some(advice) = self.advice.get_mut(&(request.job, request.step)) {
             advice.record_response(context.now, &request.workers, response);
         }
--- a/crates/cell/src/decider/append.rs
+++ b/crates/cell/src/decider/append.rs
@@ -91,6 +91,7 @@
         }
         self.push_forgotten(context, &mut records);
         self.push_forgotten_withdrawals(context, &mut records);
+        self.push_load_record(context, &mut records);
         let release = self.release.as_ref().filter(|_| is_complete);
         if let Some(claim) = release {
             records.push(Record::claim(claim));
@@ -181,6 +182,7 @@
         };
         context.cell_state.live.remove(id);
         self.beyond_share.remove(id);
+        self.forecasts.forget(id);
         context.cell_state.ended.insert(ids::JobId::clone(id), ended.clone());
         self.ended_order.push_back((context.now, ids::JobId::clone(id)));
         let record = JobRecord::Ended(ended);
--- a/crates/cell/src/decider/dispatch.rs
+++ b/crates/cell/src/decider/dispatch.rs
@@ -311,6 +311,7 @@
         {
             job.progress.has_begun = true;
             self.dirty.insert(ids::JobId::clone(&task.job));
+            self.record_first_start(context, &task.job);
         }
     }
 
--- a/crates/cell/src/decider/mod.rs
+++ b/crates/cell/src/decider/mod.rs
@@ -16,6 +16,7 @@
 use crate::advice::StepAdvice;
 use crate::cell_state::CellState;
 use crate::decider::append::{InFlightAppend, append_effect};
+use crate::decider::forecast::Forecasts;
 use crate::decider::schedule::LimitReservation;
 use crate::declaration::Declaration;
 use crate::effect::{Effect, Target};
@@ -35,6 +36,8 @@
 mod availability;
 mod dispatch;
 mod forecast;
+mod forecast_build;
+mod learned;
 mod polls;
 mod relay;
 mod requests;
@@ -173,6 +176,7 @@
     /// For hosts whose last advice requests had no response: how many. None stands for this host.
     adviser_failures: BTreeMap<Option<ids::HostId>, u32>,
     speeds: WorkerSpeeds,
+    forecasts: Forecasts,
     /// The workers in descending order of their free share, and the time of the sort.
     workers_by_free: Vec<ids::WorkerId>,
     workers_sorted_at: time::Duration,
--- a/crates/cell/src/decider/requests.rs
+++ b/crates/cell/src/decider/requests.rs
@@ -62,6 +62,7 @@
         if context.cell_state.withdrawn.remove(&id).is_some() {
             self.withdrawn_order.retain(|(_, withdrawn)| *withdrawn != id);
         }
+        self.remember_forecast(context, &spec, !is_beyond_share);
         let progress = Progress::new(&spec);
         let job = LiveJob { accepted_wall_ms: context.wall_ms, spec, progress };
         context.cell_state.live.insert(ids::JobId::clone(&id), job);
--- a/crates/cell/src/decider/run_times.rs
+++ b/crates/cell/src/decider/run_times.rs
@@ -31,9 +31,15 @@
         };
         let rack = self.workers.get(&run.worker).and_then(|worker| worker.rack());
         let is_data_local = step.data_rack.is_none() || step.data_rack.as_ref() == rack;
-        // The members of a gang finish together, a resumed run takes only the rest of its time, and
-        // a task away from its data is slower on any worker.
-        if step.gang || run.is_resumed || !is_data_local {
+        if step.gang {
+            if let Some(took) = self.gang_run_time(context, task, step.tasks) {
+                self.speeds.record_gang_run_time(&job.spec.queue, took, step.estimate());
+            }
+            return;
+        }
+        // A resumed run takes only the rest of its time, and a task away from its data is slower on
+        // any worker.
+        if run.is_resumed || !is_data_local {
             return;
         }
         let took = context.now.saturating_sub(since);
@@ -46,6 +52,28 @@
         );
     }
 
+    /// How long the members of a gang have run together. None if a member has resumed, if its start
+    /// is not known, or if the end of another one was reported before.
+    fn gang_run_time(
+        &self,
+        context: &Context<'_>,
+        task: &TaskRef,
+        tasks: usize,
+    ) -> Option<time::Duration> {
+        let mut last_start = time::Duration::ZERO;
+        for index in 0..tasks {
+            let run = self.runs.get(&TaskRef { index, ..task.clone() })?;
+            let RunPhase::Running { since } = run.phase else {
+                return None;
+            };
+            if run.is_resumed {
+                return None;
+            }
+            last_start = last_start.max(since);
+        }
+        Some(context.now.saturating_sub(last_start))
+    }
+
     /// Updates the estimated speeds from the reported progress of a run, and stops the run if it is
     /// stalled.
     pub(super) fn check_progress(&mut self, context: &Context<'_>, listed: &ListedRun) {
--- a/crates/cell/src/decider/schedule.rs
+++ b/crates/cell/src/decider/schedule.rs
@@ -63,6 +63,7 @@
         }
         let mut candidates = self.candidates(context);
         self.update_waiting_since(context.now, &mut candidates);
+        self.build_forecasts(context, &candidates);
         let mut limit_reservations: Map<AccountId, LimitReservation> = Map::default();
         let mut reserving_gangs = 0;
         let mut reserving_steps = Vec::new();
@@ -222,8 +223,8 @@
             if waiting.is_empty() || !can_start_whole || !job.progress.is_ready(&job.spec, step) {
                 continue;
             }
-            let critical_paths =
-                critical_paths.get_or_insert_with(|| job.spec.remaining_critical_paths());
+            let critical_paths = critical_paths
+                .get_or_insert_with(|| self.remaining_critical_paths(context, &job.spec));
             let rank = ranking::rank(
                 queue,
                 &job.spec,
--- a/crates/cell/src/decider/takeover.rs
+++ b/crates/cell/src/decider/takeover.rs
@@ -6,6 +6,8 @@
 use pier_core::ids;
 use pier_core::map::Map;
 
+use crate::decider::forecast::Forecasts;
+use crate::decider::learned::{learned_run_times, run_time_model};
 use crate::decider::{Context, Decider, Predecessor, Term};
 use crate::event::WorkerRecord;
 use crate::follower::FollowerUpdate;
@@ -31,6 +33,7 @@
         let extended_until = term
             .earlier_records_read_at
             .saturating_add(context.options.lease_extension_without_log);
+        let learned = context.cell_state.load.as_ref().filter(|_| context.options.load.is_any());
         let mut decider = Self {
             token: term.token,
             end: term.end,
@@ -68,7 +71,8 @@
             advice_requests: BTreeMap::new(),
             busy_adviser_hosts: BTreeSet::new(),
             adviser_failures: BTreeMap::new(),
-            speeds: WorkerSpeeds::default(),
+            speeds: WorkerSpeeds::new(run_time_model(context), learned_run_times(learned)),
+            forecasts: Forecasts::new(learned),
             workers_by_free: Vec::new(),
             workers_sorted_at: time::Duration::ZERO,
             waiting_since: BTreeMap::new(),
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -149,13 +149,21 @@
 
     /// For each step, the estimated run time of the longest chain that starts with the step.
     pub fn remaining_critical_paths(&self) -> Vec<time::Duration> {
-        let mut critical_paths: Vec<time::Duration> =
-            self.steps.iter().map(Step::estimate).collect();
+        self.remaining_critical_paths_by(Step::estimate)
+    }
+
+    /// The same with other run times of the steps than the estimated ones.
+    pub fn remaining_critical_paths_by(
+        &self,
+        run_time: impl Fn(&Step) -> time::Duration,
+    ) -> Vec<time::Duration> {
+        let run_times: Vec<time::Duration> = self.steps.iter().map(run_time).collect();
+        let mut critical_paths = run_times.clone();
         // A step depends on earlier steps only, so in reverse order the paths of all its dependents
         // are complete.
         for index in (0..self.steps.len()).rev() {
             for before in &self.steps[index].after {
-                let through = self.steps[*before].estimate().saturating_add(critical_paths[index]);
+                let through = run_times[*before].saturating_add(critical_paths[index]);
                 critical_paths[*before] = critical_paths[*before].max(through);
             }
         }
--- a/crates/cell/src/options.rs
+++ b/crates/cell/src/options.rs
@@ -102,6 +102,11 @@
 impl LoadOptions {
     /// All parts.
     pub const ALL: Self = Self { admission: true, shares: true, gangs: true, reclaim: true };
+
+    /// Whether any part is in use. Run times are then learned and starts are forecast.
+    pub fn is_any(&self) -> bool {
+        self.admission || self.shares || self.gangs || self.reclaim
+    }
 }
 
 impl Default for Options {
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -3,9 +3,11 @@
 //! The log retains the newest record of each key permanently. The newest records alone therefore
 //! yield the whole state, and a record may be applied any number of times.
 
+use std::collections::BTreeMap;
 use std::sync;
 
 use pier_core::ids;
+use pier_load::run_times;
 use serde::{Deserialize, Serialize};
 
 use crate::job::{AccountId, JobSpec, JobState, Requester};
@@ -13,6 +15,7 @@
 
 const CLAIM_KEY: &str = "decider";
 const BATCH_KEY: &str = "batch";
+const LOAD_KEY: &str = "load";
 const JOB_PREFIX: &str = "job/";
 const PROGRESS_PREFIX: &str = "progress/";
 
@@ -127,8 +130,51 @@
     }
 }
 
+/// What the decider has learned about the load, for the next decider. Versions that do not know the
+/// record skip it.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct LoadRecord {
+    /// The learned run times of each queue, see [`run_times::RunTimes::to_values`].
+    #[serde(default)]
+    pub run_times: BTreeMap<ids::QueueId, [f32; run_times::QUEUE_VALUES]>,
+    /// For each queue with an adviser, the workers named in requests and those of them that were
+    /// eligible. Older ones have decayed.
+    #[serde(default)]
+    pub eligible: BTreeMap<ids::QueueId, [f32; 2]>,
+    /// By how many milliseconds jobs of each queue start later than forecast.
+    #[serde(default)]
+    pub corrections_ms: BTreeMap<ids::QueueId, i64>,
+}
+
+impl LoadRecord {
+    /// Keeps only these queues.
+    pub fn retain_queues(&mut self, is_kept: impl Fn(&ids::QueueId) -> bool) {
+        self.run_times.retain(|queue, _| is_kept(queue));
+        self.eligible.retain(|queue, _| is_kept(queue));
+        self.corrections_ms.retain(|queue, _| is_kept(queue));
+    }
+
+    /// Removes the queue of which the fewest runs are known. Returns whether there was one.
+    pub fn remove_least_known(&mut self) -> bool {
+        let mut least: Option<(f32, &ids::QueueId)> = None;
+        let others = self.eligible.keys().chain(self.corrections_ms.keys());
+        for queue in self.run_times.keys().chain(others) {
+            let runs = self.run_times.get(queue).map_or(0.0, |values| values[0]);
+            if least.is_none_or(|(fewest, _)| runs < fewest) {
+                least = Some((runs, queue));
+            }
+        }
+        let Some((_, queue)) = least else {
+            return false;
+        };
+        let removed = ids::QueueId::clone(queue);
+        self.retain_queues(|queue| *queue != removed);
+        true
+    }
+}
+
 /// A decoded record.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Change {
     /// A claim of the decider role, or its removal.
     Claim(Option<Claim>),
@@ -138,6 +184,8 @@
     Job(ids::JobId, Option<JobRecord>),
     /// A job's progress, still encoded because decoding requires the job's specification.
     Progress(ids::JobId, Option<Vec<u8>>),
+    /// What deciders have learned about the load, or its removal.
+    Load(Option<LoadRecord>),
 }
 
 /// A record that this version cannot decode.
@@ -177,6 +225,11 @@
         Self { key: BATCH_KEY.to_owned(), value: Some(to_json(header)) }
     }
 
+    /// Creates the record of what the decider has learned about the load.
+    pub fn load(learned: &LoadRecord) -> Self {
+        Self { key: LOAD_KEY.to_owned(), value: Some(to_json(learned)) }
+    }
+
     /// Creates a job's record; none removes the job.
     pub fn job(id: &str, record: Option<&JobRecord>) -> Self {
         Self { key: format!("{JOB_PREFIX}{id}"), value: record.map(to_json) }
@@ -221,6 +274,10 @@
                 let claim = value.map(serde_json::from_slice).transpose().map_err(undecodable)?;
                 Ok(Some(Change::Claim(claim)))
             }
+            LOAD_KEY => {
+                let learned = value.map(serde_json::from_slice).transpose().map_err(undecodable)?;
+                Ok(Some(Change::Load(learned)))
+            }
             BATCH_KEY => match value {
                 Some(bytes) => {
                     let header = serde_json::from_slice(bytes).map_err(undecodable)?;
--- a/crates/cell/src/speed.rs
+++ b/crates/cell/src/speed.rs
@@ -9,6 +9,7 @@
 
 use pier_core::ids;
 use pier_core::map::Map;
+use pier_load::run_times::RunTimes;
 
 /// The time constant with which run times decay in a worker's long-term speed.
 const LONG_TERM_DECAY: time::Duration = time::Duration::from_secs(15);
@@ -128,14 +129,54 @@
     }
 }
 
+/// What run times are compared with.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum RunTimeModel {
+    /// The mean ratio of run time to estimate in the queue. Used while no part of load control is
+    /// in use.
+    #[default]
+    MeanRatio,
+    /// The run time as a function of the estimate, see [`RunTimes`].
+    Learned,
+}
+
 /// The estimated speeds of all workers.
 #[derive(Debug, Default)]
 pub struct WorkerSpeeds {
+    model: RunTimeModel,
     queues: Map<ids::QueueId, QueueRunTimes>,
+    run_times: RunTimes,
     workers: Map<ids::WorkerId, WorkerSpeed>,
 }
 
 impl WorkerSpeeds {
+    /// Creates the speeds with run times that were learned before.
+    pub fn new(model: RunTimeModel, run_times: RunTimes) -> Self {
+        Self { model, run_times, ..Self::default() }
+    }
+
+    /// Changes what run times are compared with.
+    pub fn set_model(&mut self, model: RunTimeModel) {
+        self.model = model;
+    }
+
+    /// The learned run times.
+    pub fn run_times(&self) -> &RunTimes {
+        &self.run_times
+    }
+
+    /// Records the run time of a gang. It says nothing about single workers.
+    pub fn record_gang_run_time(
+        &mut self,
+        queue: &ids::QueueId,
+        took: time::Duration,
+        estimate: time::Duration,
+    ) {
+        if self.model == RunTimeModel::Learned {
+            self.run_times.record(queue, estimate, took);
+        }
+    }
+
     /// Records that a task of the queue ran for `took` with an estimate of `estimate`.
     pub fn record_run_time(
         &mut self,
@@ -149,13 +190,16 @@
             return;
         };
         let run_times = self.queues.entry(ids::QueueId::clone(queue)).or_default();
-        let (mean, variance) = (run_times.mean, run_times.variance);
+        let (mut deviation, mut variance) = (log_ratio - run_times.mean, run_times.variance);
         run_times.add(log_ratio);
+        if self.model == RunTimeModel::Learned {
+            (deviation, variance) = self.run_times.deviation(queue, estimate, took);
+            self.run_times.record(queue, estimate, took);
+        }
         let speed = self.workers.entry(ids::WorkerId::clone(worker)).or_default();
         *speed = speed.decayed(now);
         speed.stalled_at = None;
-        let deviation =
-            (log_ratio - mean).clamp(-MAX_DEVIATION_FACTOR.ln(), MAX_DEVIATION_FACTOR.ln());
+        let deviation = deviation.clamp(-MAX_DEVIATION_FACTOR.ln(), MAX_DEVIATION_FACTOR.ln());
         let weight = 1.0 / variance.max(MIN_VARIANCE);
         speed.long_term.add(weight, deviation);
         speed.short_term.add(weight, deviation);
@@ -192,6 +236,9 @@
 
     /// The expected run time of a task of the queue with an estimate of `estimate`.
     pub fn expected(&self, queue: &str, estimate: time::Duration) -> time::Duration {
+        if self.model == RunTimeModel::Learned {
+            return self.run_times.expected(queue, estimate);
+        }
         let mean = self.queues.get(queue).map_or(0.0, |run_times| run_times.mean);
         let seconds = estimate.as_secs_f64() * mean.exp();
         time::Duration::try_from_secs_f64(seconds).unwrap_or(estimate)
