--- a/crates/load/src/forecast.rs
+++ b/crates/load/src/forecast.rs
@@ -59,8 +59,7 @@
 /// The forecast of one scheduling pass.
 #[derive(Debug, Clone, Default)]
 pub struct Forecast {
-    /// What can be used when nothing else runs.
-    usable: Amounts,
+    room: Room,
     /// The state when the first steps have started, by their number.
     positions: Vec<Position>,
     /// All changes of the free resources, in order of time.
@@ -87,6 +86,37 @@
     free: Amounts,
 }
 
+/// How much of the pool tasks can use.
+#[derive(Debug, Clone, Copy, Default)]
+struct Room {
+    capacity: Amounts,
+    unusable: Amounts,
+}
+
+impl Room {
+    /// How many tasks of this need fit when nothing else runs; zero if the work cannot start at all.
+    /// Work that only fits into the whole capacity may use all of it.
+    fn most_at_once(&self, work: &WaitingWork) -> usize {
+        let need = Amounts::of(&work.need);
+        let least = if work.is_gang { work.tasks } else { 1 };
+        let usable = need.fit_count(&self.capacity.minus(&self.unusable));
+        if usable >= least {
+            return usable;
+        }
+        let most = need.fit_count(&self.capacity);
+        if most >= least { most } else { 0 }
+    }
+
+    /// The part of the free resources that work can use of which this amount starts together.
+    fn available(&self, at_once: &Amounts, free: &Amounts) -> Amounts {
+        if at_once.fits_in(&self.capacity.minus(&self.unusable)) {
+            free.minus(&self.unusable)
+        } else {
+            *free
+        }
+    }
+}
+
 /// A change of the free resources.
 #[derive(Debug, Clone, Copy)]
 struct Change {
@@ -107,9 +137,9 @@
             simulation.place(index, work);
             positions.push(simulation.position);
         }
-        let Simulation { usable, mut changes, starts, .. } = simulation;
+        let Simulation { room, mut changes, starts, .. } = simulation;
         changes.sort_unstable_by_key(|change| change.at);
-        Self { usable, positions, changes, starts }
+        Self { room, positions, changes, starts }
     }
 
     /// When all tasks of the work could have started if it ranked behind the first `position`
@@ -127,16 +157,17 @@
         work: &WaitingWork,
     ) -> Option<time::Duration> {
         let start = self.positions.get(position).or(self.positions.last())?;
-        let need = Amounts::of(&work.need);
-        let fits = need.fit_count(&self.usable);
-        if fits == 0 || (work.is_gang && fits < work.tasks) {
+        let most = self.room.most_at_once(work);
+        if most == 0 {
             return None;
         }
-        let at_once = work.tasks.min(fits);
-        let demand = need.times(at_once).plus(&Amounts::of(ahead));
+        let at_once = work.tasks.min(most);
+        let own = Amounts::of(&work.need).times(at_once);
+        let demand = own.plus(&Amounts::of(ahead));
+        let is_available = |free: &Amounts| demand.fits_in(&self.room.available(&own, free));
         let mut at = start.at.max(work.earliest);
         let mut free = start.free;
-        let mut is_started = demand.fits_in(&free);
+        let mut is_started = is_available(&free);
         let first = self.changes.partition_point(|change| change.at <= start.at);
         for change in &self.changes[first..] {
             if is_started && change.at > at {
@@ -146,14 +177,14 @@
                 continue;
             }
             free = free.plus(&change.amounts);
-            is_started = demand.fits_in(&free);
+            is_started = is_available(&free);
             at = at.max(change.at);
         }
         // What is still missing after everything known has ended has to run first, as have further
         // tasks than fit at a time.
         let mut rounds = work.tasks.div_ceil(at_once.max(1)).saturating_sub(1);
         if !is_started {
-            let missing = demand.minus(&free).dominant_rounds(&self.usable);
+            let missing = demand.minus(&free).dominant_rounds(&self.room.capacity);
             rounds = rounds.saturating_add(missing);
         }
         let rounds = u32::try_from(rounds).unwrap_or(u32::MAX);
@@ -169,7 +200,7 @@
 /// The play of the waiting steps on the pool.
 struct Simulation {
     now: time::Duration,
-    usable: Amounts,
+    room: Room,
     position: Position,
     /// The end of the step that was placed last.
     last_end: time::Duration,
@@ -181,11 +212,13 @@
 
 impl Simulation {
     fn new(now: time::Duration, pool: &Pool) -> Self {
-        let unusable = Amounts::of(&pool.unusable);
         let mut simulation = Self {
             now,
-            usable: Amounts::of(&pool.capacity).minus(&unusable),
-            position: Position { at: now, free: Amounts::of(&pool.free).minus(&unusable) },
+            room: Room {
+                capacity: Amounts::of(&pool.capacity),
+                unusable: Amounts::of(&pool.unusable),
+            },
+            position: Position { at: now, free: Amounts::of(&pool.free) },
             last_end: now,
             pending: BTreeMap::new(),
             changes: Vec::new(),
@@ -204,8 +237,7 @@
 
     fn place(&mut self, index: usize, work: &WaitingWork) {
         let need = Amounts::of(&work.need);
-        let fits = need.fit_count(&self.usable);
-        if fits == 0 || (work.is_gang && fits < work.tasks) {
+        if self.room.most_at_once(work) == 0 {
             return;
         }
         let earliest =
@@ -217,9 +249,11 @@
             return;
         }
         let at_once = if work.is_gang { work.tasks } else { 1 };
+        let own = need.times(at_once);
         let mut left = work.tasks;
         loop {
-            let count = need.fit_count(&self.position.free).min(left);
+            let available = self.room.available(&own, &self.position.free);
+            let count = need.fit_count(&available).min(left);
             if count >= at_once && count > 0 {
                 self.position.free = self.position.free.minus(&need.times(count));
                 self.add_start(index, self.position.at, work, &need, count);
