Divide the capacity of a full service by the accounts' weights

Cause: whether an account was beyond its share depended on the number of jobs that it submitted per second, so one account's flood took capacity from accounts with their usual load.

Change: pier_load::shares divides the capacity by progressive filling of the dominant resource. With options.load.shares the scheduling pass charges what it places and ranks steps beyond their account's share behind all steps within that have not expired. Without it the submission buckets decide as before.

--- a/crates/cell/src/decider/append.rs
+++ b/crates/cell/src/decider/append.rs
@@ -180,7 +180,7 @@
             ended_wall_ms: context.wall_ms,
         };
         context.cell_state.live.remove(id);
-        self.beyond_share.remove(id);
+        self.shares.forget_job(id);
         context.cell_state.ended.insert(ids::JobId::clone(id), ended.clone());
         self.ended_order.push_back((context.now, ids::JobId::clone(id)));
         let record = JobRecord::Ended(ended);
--- a/crates/cell/src/decider/mod.rs
+++ b/crates/cell/src/decider/mod.rs
@@ -11,12 +11,12 @@
 
 use pier_core::ids;
 use pier_core::map::Map;
-use pier_core::resources::Resources;
 
 use crate::advice::StepAdvice;
 use crate::cell_state::CellState;
 use crate::decider::append::{InFlightAppend, append_effect};
 use crate::decider::schedule::LimitReservation;
+use crate::decider::shares::AccountShares;
 use crate::declaration::Declaration;
 use crate::effect::{Effect, Target};
 use crate::job::{AccountId, JobState, RunNumber, StepIndex, TaskRef};
@@ -24,7 +24,6 @@
 use crate::options::Options;
 use crate::peer::{Message, PeerInfo, RequestOutcome};
 use crate::progress::Phase;
-use crate::ranking::SubmissionBucket;
 use crate::record::Claim;
 use crate::run::Run;
 use crate::speed::WorkerSpeeds;
@@ -155,15 +154,13 @@
     last_lease_check_at: time::Duration,
     /// Runs that are being stopped without an acknowledgement yet.
     stopping: BTreeSet<TaskRef>,
-    account_used: Map<AccountId, Resources>,
+    /// What the accounts use, and how the capacity is divided among them.
+    shares: AccountShares,
     /// The parts of accounts' limits that are reserved for waiting gangs.
     limit_reservations: Map<AccountId, LimitReservation>,
     /// For accounts whose limit is reserved for a waiting gang: since when the account has used at
     /// most half of its limit.
     below_half_since: Map<AccountId, time::Duration>,
-    submission_buckets: Map<AccountId, SubmissionBucket>,
-    /// Jobs that exceeded the share of their account when they were submitted.
-    beyond_share: BTreeSet<ids::JobId>,
     /// The version of the declaration whose limits of attempts were applied to all jobs.
     attempts_checked_for: ids::Version,
     advice: BTreeMap<(ids::JobId, StepIndex), StepAdvice>,
@@ -314,8 +311,7 @@
     /// Adds a run and counts its resources against its worker and its account.
     fn insert_run(&mut self, task: TaskRef, run: Run) {
         if let Some(account) = &run.account {
-            let used = self.account_used.entry(AccountId::clone(account)).or_default();
-            *used = used.plus(&run.need);
+            self.shares.add_use(account, &run.need);
         }
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.used = worker.used.plus(&run.need);
@@ -330,10 +326,8 @@
     fn remove_run(&mut self, context: &mut Context<'_>, task: &TaskRef) -> Option<Run> {
         let run = self.runs.remove(task)?;
         self.stopping.remove(task);
-        if let Some(account) = &run.account
-            && let Some(used) = self.account_used.get_mut(account)
-        {
-            *used = used.minus(&run.need);
+        if let Some(account) = &run.account {
+            self.shares.remove_use(account, &run.need);
         }
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.used = worker.used.minus(&run.need);
--- a/crates/cell/src/decider/requests.rs
+++ b/crates/cell/src/decider/requests.rs
@@ -8,7 +8,7 @@
 
 use crate::cell_state::{CellState, LiveJob};
 use crate::decider::{Context, Decider, RequestOrigin};
-use crate::job::{self, AccountId, JobSpec, JobState, Requester};
+use crate::job::{self, JobSpec, JobState, Requester};
 use crate::peer::RequestOutcome;
 use crate::place;
 use crate::progress::Progress;
@@ -46,15 +46,7 @@
             self.reply(context, origin, outcome);
             return;
         }
-        let account = spec.account.as_ref().and_then(|name| context.declaration.account(name));
-        let is_beyond_share = account.is_some_and(|account| {
-            let submission_buckets =
-                self.submission_buckets.entry(AccountId::clone(&account.name)).or_default();
-            submission_buckets.record_submission(context.now, account)
-        });
-        if is_beyond_share {
-            self.beyond_share.insert(ids::JobId::clone(&id));
-        }
+        let is_beyond_share = self.shares.record_submission(context, &spec);
         tracing::info!(job = %id, queue = %spec.queue, account = spec.account.as_deref(),
             is_beyond_share, steps = spec.steps.len(), version = context.declaration.version,
             "job accepted");
--- a/crates/cell/src/decider/schedule.rs
+++ b/crates/cell/src/decider/schedule.rs
@@ -8,6 +8,7 @@
 use pier_core::map::Map;
 use pier_core::resources::Resources;
 
+use crate::decider::shares::PassOrder;
 use crate::decider::{Context, Decider};
 use crate::job::{AccountId, JobSpec, Step, StepIndex, TaskIndex, TaskRef};
 use crate::place::{self, SpeedTolerance};
@@ -29,6 +30,7 @@
 const MAX_UNDERUSED_RESERVATION: time::Duration = time::Duration::from_millis(1_500);
 
 /// A step that has tasks ready to start.
+#[derive(Clone)]
 pub(super) struct Candidate {
     pub(super) rank: Rank,
     pub(super) speed_tolerance: SpeedTolerance,
@@ -66,7 +68,10 @@
         let mut limit_reservations: Map<AccountId, LimitReservation> = Map::default();
         let mut reserving_gangs = 0;
         let mut reserving_steps = Vec::new();
-        for candidate in &candidates {
+        self.shares.divide(context, &self.workers, &self.runs, &candidates);
+        let mut order = PassOrder::new(candidates);
+        while let Some((candidate, within)) = self.shares.next_candidate(&mut order) {
+            let candidate = &candidate;
             let Some(queue) = context.declaration.queue(&candidate.spec.queue) else {
                 continue;
             };
@@ -107,12 +112,13 @@
                     .get(&candidate.key())
                     .is_some_and(|advice| advice.has_ticket(context.now));
             if !has_ticket && self.idle_adviser_host().is_none() {
+                self.note_waiting(context, candidate, queue, has_ticket);
                 continue;
             }
             let mut workers = self.dispatchable_workers(context, candidate, queue);
             let placed = place::place(
                 candidate.step(),
-                waiting,
+                within,
                 &limit,
                 &candidate.speed_tolerance,
                 &mut workers,
@@ -120,9 +126,17 @@
             for (index, position) in candidate.waiting.iter().zip(&placed) {
                 self.assign(context, candidate, *index, &workers[*position].worker);
             }
+            self.shares.charge(candidate, placed.len());
             if placed.len() == waiting {
                 continue;
             }
+            if placed.len() == within {
+                order.defer_rest(candidate, within);
+                continue;
+            }
+            if place::fit_count(&step.need, &limit) > placed.len() {
+                self.note_waiting(context, candidate, queue, has_ticket);
+            }
             let mut has_reservation = false;
             if candidate.step().gang && reserving_gangs < MAX_RESERVING_GANGS {
                 has_reservation = self.reserve_workers(context, candidate, queue, &limit);
@@ -135,6 +149,7 @@
                 self.request_advice(context, candidate, queue, terms, &limit, has_reservation);
             }
         }
+        self.shares.report(context, &mut self.load_report);
         self.below_half_since.retain(|account, _| limit_reservations.contains_key(account));
         self.set_limit_reservations(limit_reservations);
         self.worker_reservations.retain(|_, (job, step, _)| {
@@ -230,7 +245,7 @@
                 job.accepted_wall_ms,
                 context.wall_ms,
                 critical_paths[step],
-                self.beyond_share.contains(id),
+                self.shares.exceeded_bucket(id),
             );
             let speed_tolerance = ranking::speed_tolerance(
                 rank,
@@ -262,7 +277,7 @@
         let Some(account) = context.declaration.account(name) else {
             return Resources::ZERO;
         };
-        let used = self.account_used.get(name).copied().unwrap_or_default();
+        let used = self.shares.used(name);
         let half = account.cap.scaled(1, 2);
         let mut left = account.cap.minus(reserved);
         if used.fits_in(&half) {
@@ -285,7 +300,7 @@
         let Some(account) = context.declaration.account(name) else {
             return Resources::ZERO;
         };
-        account.cap.minus(&self.account_used.get(name).copied().unwrap_or_default())
+        account.cap.minus(&self.shares.used(name))
     }
 
     fn assign(
--- a/crates/cell/src/decider/takeover.rs
+++ b/crates/cell/src/decider/takeover.rs
@@ -6,6 +6,7 @@
 use pier_core::ids;
 use pier_core::map::Map;
 
+use crate::decider::shares::AccountShares;
 use crate::decider::{Context, Decider, Predecessor, Term};
 use crate::event::WorkerRecord;
 use crate::follower::FollowerUpdate;
@@ -58,11 +59,9 @@
             next_poll_pass_at: time::Duration::ZERO,
             last_lease_check_at: time::Duration::ZERO,
             stopping: BTreeSet::new(),
-            account_used: Map::default(),
+            shares: AccountShares::default(),
             limit_reservations: Map::default(),
             below_half_since: Map::default(),
-            submission_buckets: Map::default(),
-            beyond_share: BTreeSet::new(),
             attempts_checked_for: 0,
             advice: BTreeMap::new(),
             advice_requests: BTreeMap::new(),
--- a/crates/cell/src/ranking.rs
+++ b/crates/cell/src/ranking.rs
@@ -36,7 +36,7 @@
     OnTime,
     /// The job will finish late.
     Late,
-    /// The job may finish late because its account has submitted more than its share.
+    /// The job may finish late because its account has more than its share.
     BeyondShare,
     /// The job is too late to be useful. It runs when resources are free.
     Expired,
