Skip the search for workers for steps that fit nowhere

Cause: a pass over 2,000 waiting steps took 35 ms at 350 workers, because each step collected the workers that could run it and looked up a run for each of its tasks.

Change: a pass keeps upper bounds of how many tasks of a size fit, and skips the search for steps that are larger. Jobs without runs are looked up once.

--- a/crates/cell/src/decider/mod.rs
+++ b/crates/cell/src/decider/mod.rs
@@ -37,6 +37,7 @@
 mod polls;
 mod relay;
 mod requests;
+mod room;
 mod run_times;
 mod schedule;
 mod shares;
--- a/crates/cell/src/decider/schedule.rs
+++ b/crates/cell/src/decider/schedule.rs
@@ -8,6 +8,7 @@
 use pier_core::map::Map;
 use pier_core::resources::Resources;
 
+use crate::decider::room::RoomBounds;
 use crate::decider::shares::PassOrder;
 use crate::decider::{Context, Decider};
 use crate::job::{AccountId, JobSpec, Step, StepIndex, TaskIndex, TaskRef};
@@ -70,6 +71,7 @@
         let mut reserving_steps = Vec::new();
         self.shares.divide(context, &self.workers, &self.runs, &candidates);
         let mut order = PassOrder::new(candidates);
+        let mut room = RoomBounds::default();
         while let Some((candidate, within)) = self.shares.next_candidate(&mut order) {
             let candidate = &candidate;
             let Some(queue) = context.declaration.queue(&candidate.spec.queue) else {
@@ -112,10 +114,16 @@
                     .get(&candidate.key())
                     .is_some_and(|advice| advice.has_ticket(context.now));
             if !has_ticket && self.idle_adviser_host().is_none() {
-                self.note_waiting(context, candidate, queue, has_ticket);
+                self.note_waiting(context, &mut room, candidate, queue, has_ticket);
                 continue;
             }
-            let mut workers = self.dispatchable_workers(context, candidate, queue);
+            let at_once = if step.gang { waiting } else { 1 };
+            let has_room = self.room_bound(context, &mut room, queue, &step.need) >= at_once;
+            let mut workers = if has_room {
+                self.dispatchable_workers(context, candidate, queue)
+            } else {
+                Vec::new()
+            };
             let placed = place::place(
                 candidate.step(),
                 within,
@@ -134,8 +142,11 @@
                 order.defer_rest(candidate, within);
                 continue;
             }
+            if has_room {
+                self.refresh_room_bound(context, &mut room, queue, &step.need);
+            }
             if place::fit_count(&step.need, &limit) > placed.len() {
-                self.note_waiting(context, candidate, queue, has_ticket);
+                self.note_waiting(context, &mut room, candidate, queue, has_ticket);
             }
             let mut has_reservation = false;
             if candidate.step().gang && reserving_gangs < MAX_RESERVING_GANGS {
@@ -222,6 +233,7 @@
             return;
         }
         let mut critical_paths = None;
+        let has_runs = self.has_runs(id);
         for (step, tasks) in job.progress.steps.iter().enumerate() {
             let mut waiting = Vec::new();
             for (index, task) in tasks.iter().enumerate() {
@@ -229,7 +241,7 @@
                     continue;
                 }
                 let task_ref = TaskRef { job: ids::JobId::clone(id), step, index };
-                if !self.runs.contains_key(&task_ref) {
+                if !has_runs || !self.runs.contains_key(&task_ref) {
                     waiting.push(index);
                 }
             }
--- a/crates/cell/src/decider/shares.rs
+++ b/crates/cell/src/decider/shares.rs
@@ -14,6 +14,7 @@
 use pier_core::resources::Resources;
 use pier_load::shares::{AccountDemand, Shares};
 
+use crate::decider::room::RoomBounds;
 use crate::decider::schedule::Candidate;
 use crate::decider::{Context, Decider};
 use crate::declaration::{Queue, ServiceId};
@@ -462,29 +463,20 @@
     pub(super) fn note_waiting(
         &mut self,
         context: &Context<'_>,
+        room: &mut RoomBounds,
         candidate: &Candidate,
         queue: &Queue,
         has_ticket: bool,
     ) {
-        let Some(division) = self.shares.divisions.get_mut(&queue.service) else {
-            return;
-        };
-        if division.is_full || candidate.rank.deadline_status == DeadlineStatus::Expired {
+        if candidate.rank.deadline_status == DeadlineStatus::Expired {
             return;
         }
-        if has_ticket {
+        let waits_for_advice =
+            !has_ticket && self.room_bound(context, room, queue, &candidate.step().need) > 0;
+        if let Some(division) = self.shares.divisions.get_mut(&queue.service)
+            && !waits_for_advice
+        {
             division.is_full = true;
-            return;
-        }
-        let need = &candidate.step().need;
-        for worker in self.workers.values() {
-            let is_open = worker.info.service == queue.service
-                && worker.accepts_work(context.now)
-                && !context.zones_out.contains(&worker.info.zone);
-            if is_open && need.fits_in(&worker.free()) {
-                return;
-            }
         }
-        division.is_full = true;
     }
 }
