Preempt runs for steps that would miss their objective, and on workers that leave

Cause: no run was ever stopped for work that was still on time, not even one whose result was of no use any more, and the time for which a leaving worker stays was used nowhere.

Change: with options.load.reclaim, a pass stops runs for steps within their share that must start within a second: of expired jobs, of accounts beyond their share, then of less urgent queues with checkpoints, within the bounds of docs/design/hard-load.md. The freed capacity is held for the step. Runs on workers that leave are stopped in time if their progress can be saved and they cannot end before.

--- a/crates/cell/src/decider/availability.rs
+++ b/crates/cell/src/decider/availability.rs
@@ -79,9 +79,10 @@
         };
         let is_data_local = step.data_rack.as_ref().is_none_or(|rack| worker.rack() == Some(rack));
         let data_slowdown = if is_data_local { 1.0 } else { context.options.remote_slowdown };
+        let held = self.reclaim.held_for_others(&worker.info.id, &candidate.job, candidate.step);
         Some(AvailableWorker {
             worker: ids::WorkerId::clone(&worker.info.id),
-            free: worker.free(),
+            free: worker.free().minus(&held),
             capacity: worker.info.capacity,
             rack: worker.rack().cloned(),
             slowdown: self.speeds.slowdown(context.now, &worker.info.id) * data_slowdown,
--- a/crates/cell/src/decider/mod.rs
+++ b/crates/cell/src/decider/mod.rs
@@ -15,6 +15,7 @@
 use crate::advice::StepAdvice;
 use crate::cell_state::CellState;
 use crate::decider::append::{InFlightAppend, append_effect};
+use crate::decider::reclaim::Reclaim;
 use crate::decider::schedule::LimitReservation;
 use crate::decider::shares::AccountShares;
 use crate::declaration::Declaration;
@@ -35,6 +36,7 @@
 mod dispatch;
 mod forecast;
 mod polls;
+mod reclaim;
 mod relay;
 mod requests;
 mod room;
@@ -157,6 +159,8 @@
     stopping: BTreeSet<TaskRef>,
     /// What the accounts use, and how the capacity is divided among them.
     shares: AccountShares,
+    /// What is preempted, and for which steps.
+    reclaim: Reclaim,
     /// The parts of accounts' limits that are reserved for waiting gangs.
     limit_reservations: Map<AccountId, LimitReservation>,
     /// For accounts whose limit is reserved for a waiting gang: since when the account has used at
@@ -255,6 +259,7 @@
     /// Carries out everything that is due.
     pub fn advance(&mut self, context: &mut Context<'_>) {
         self.expire_leases(context);
+        self.stop_runs_on_leaving_workers(context);
         self.send_stops(context);
         self.send_polls(context);
         self.expire_advice_requests(context);
--- a/crates/cell/src/decider/schedule.rs
+++ b/crates/cell/src/decider/schedule.rs
@@ -8,6 +8,7 @@
 use pier_core::map::Map;
 use pier_core::resources::Resources;
 
+use crate::decider::reclaim::Claims;
 use crate::decider::room::RoomBounds;
 use crate::decider::shares::PassOrder;
 use crate::decider::{Context, Decider};
@@ -31,7 +32,7 @@
 const MAX_UNDERUSED_RESERVATION: time::Duration = time::Duration::from_millis(1_500);
 
 /// A step that has tasks ready to start.
-#[derive(Clone)]
+#[derive(Debug, Clone)]
 pub(super) struct Candidate {
     pub(super) rank: Rank,
     pub(super) speed_tolerance: SpeedTolerance,
@@ -69,9 +70,11 @@
         let mut limit_reservations: Map<AccountId, LimitReservation> = Map::default();
         let mut reserving_gangs = 0;
         let mut reserving_steps = Vec::new();
+        self.reclaim.begin_pass(context.now, &candidates, &self.runs);
         self.shares.divide(context, &self.workers, &self.runs, &candidates);
         let mut order = PassOrder::new(candidates);
         let mut room = RoomBounds::default();
+        let mut claims = Claims::default();
         while let Some((candidate, within)) = self.shares.next_candidate(&mut order) {
             let candidate = &candidate;
             let Some(queue) = context.declaration.queue(&candidate.spec.queue) else {
@@ -142,6 +145,7 @@
                 order.defer_rest(candidate, within);
                 continue;
             }
+            claims.record_waiting(context, candidate, queue, placed.len(), &limit);
             if has_room {
                 self.refresh_room_bound(context, &mut room, queue, &step.need);
             }
@@ -161,6 +165,7 @@
             }
         }
         self.shares.report(context, &mut self.load_report);
+        self.reclaim(context, claims);
         self.below_half_since.retain(|account, _| limit_reservations.contains_key(account));
         self.set_limit_reservations(limit_reservations);
         self.worker_reservations.retain(|_, (job, step, _)| {
@@ -312,7 +317,8 @@
         let Some(account) = context.declaration.account(name) else {
             return Resources::ZERO;
         };
-        account.cap.minus(&self.shares.used(name))
+        let held = self.reclaim.held_of_limit(name, spec);
+        account.cap.minus(&self.shares.used(name)).minus(&held)
     }
 
     fn assign(
@@ -356,6 +362,7 @@
             progress: None,
         };
         self.dirty.insert(ids::JobId::clone(&candidate.job));
+        self.reclaim.on_assigned(&task, worker);
         self.pending_starts.push(task.clone());
         self.insert_run(task, run);
     }
--- a/crates/cell/src/decider/shares.rs
+++ b/crates/cell/src/decider/shares.rs
@@ -338,6 +338,26 @@
         }
     }
 
+    /// The accounts that use more of the service than their shares, while it is divided, with the
+    /// excess in parts per million of the capacity.
+    pub(super) fn excess(
+        &self,
+        service: &ServiceId,
+    ) -> Option<(Resources, BTreeMap<AccountId, u64>)> {
+        let division = self.divisions.get(service).filter(|division| division.is_divided())?;
+        let mut excess = BTreeMap::new();
+        for (position, account) in division.accounts.iter().enumerate() {
+            let used_ppm = division.shares.used_ppm(position);
+            let excess_ppm = used_ppm.saturating_sub(division.shares.entitled_ppm(position));
+            if let Some(account) = account
+                && excess_ppm > 0
+            {
+                excess.insert(AccountId::clone(account), excess_ppm);
+            }
+        }
+        Some((division.capacity, excess))
+    }
+
     fn is_within(&self, context: &Context<'_>, spec: &JobSpec) -> bool {
         let Some(queue) = context.declaration.queue(&spec.queue) else {
             return true;
--- a/crates/cell/src/decider/takeover.rs
+++ b/crates/cell/src/decider/takeover.rs
@@ -6,6 +6,7 @@
 use pier_core::ids;
 use pier_core::map::Map;
 
+use crate::decider::reclaim::Reclaim;
 use crate::decider::shares::AccountShares;
 use crate::decider::{Context, Decider, Predecessor, Term};
 use crate::event::WorkerRecord;
@@ -60,6 +61,7 @@
             last_lease_check_at: time::Duration::ZERO,
             stopping: BTreeSet::new(),
             shares: AccountShares::default(),
+            reclaim: Reclaim::default(),
             limit_reservations: Map::default(),
             below_half_since: Map::default(),
             attempts_checked_for: 0,
@@ -195,6 +197,7 @@
             return;
         };
         self.mark_poll_candidate(&record.id);
+        self.reclaim.record_drain(&info);
         let Some(worker) = self.workers.get_mut(&record.id) else {
             tracing::info!(worker = %record.id, zone = %info.zone, life = info.incarnation,
                 "worker listed");
--- a/crates/cell/src/ranking.rs
+++ b/crates/cell/src/ranking.rs
@@ -82,6 +82,11 @@
     Rank { deadline_status, priority: queue.priority, latest_start_ms }
 }
 
+/// The time from the submission of the job after which its result is of no use any more.
+pub fn expires_after(queue: &Queue, spec: &JobSpec) -> time::Duration {
+    objective(queue, spec).saturating_mul(EXPIRED_AFTER_OBJECTIVES)
+}
+
 /// The slowdown that the step tolerates, derived from its rank. `remaining` is the critical path of
 /// the job from this step on, `remote_slowdown` the slowdown of tasks on another rack than their
 /// data.
