--- a/crates/cell/src/decider/forecast_build.rs
+++ b/crates/cell/src/decider/forecast_build.rs
@@ -176,7 +176,7 @@
             };
             let remaining = self.remaining_critical_paths(context, &live.spec);
             let shortest = remaining.into_iter().min().unwrap_or_default();
-            let is_beyond = self.beyond_share.contains(job);
+            let is_beyond = self.shares.exceeded_bucket(job);
             let rank = ranking::rank(
                 queue,
                 &live.spec,
@@ -268,7 +268,7 @@
         }
         let mut pools: Map<&AccountId, (Pool, Vec<RankedWork>)> = Map::default();
         for account in &context.declaration.accounts {
-            let used = self.account_used.get(&account.name).copied().unwrap_or_default();
+            let used = self.shares.used(&account.name);
             let wanted = wanted.get(&account.name).copied().unwrap_or_default();
             if used.plus(&wanted).fits_in(&account.cap.scaled(1, 2)) {
                 continue;
--- a/crates/cell/src/decider/schedule.rs
+++ b/crates/cell/src/decider/schedule.rs
@@ -8,6 +8,9 @@
 use pier_core::map::Map;
 use pier_core::resources::Resources;
 
+use crate::decider::reclaim::Claims;
+use crate::decider::room::RoomBounds;
+use crate::decider::shares::PassOrder;
 use crate::decider::{Context, Decider};
 use crate::job::{AccountId, JobSpec, Step, StepIndex, TaskIndex, TaskRef};
 use crate::place::{self, SpeedTolerance};
@@ -29,6 +32,7 @@
 const MAX_UNDERUSED_RESERVATION: time::Duration = time::Duration::from_millis(1_500);
 
 /// A step that has tasks ready to start.
+#[derive(Debug, Clone)]
 pub(super) struct Candidate {
     pub(super) rank: Rank,
     pub(super) speed_tolerance: SpeedTolerance,
@@ -67,7 +71,13 @@
         let mut limit_reservations: Map<AccountId, LimitReservation> = Map::default();
         let mut reserving_gangs = 0;
         let mut reserving_steps = Vec::new();
-        for candidate in &candidates {
+        self.reclaim.begin_pass(context.now, &candidates, &self.runs);
+        self.shares.divide(context, &self.workers, &self.runs, &candidates);
+        let mut order = PassOrder::new(candidates);
+        let mut room = RoomBounds::default();
+        let mut claims = Claims::default();
+        while let Some((candidate, within)) = self.shares.next_candidate(&mut order) {
+            let candidate = &candidate;
             let Some(queue) = context.declaration.queue(&candidate.spec.queue) else {
                 continue;
             };
@@ -108,12 +118,19 @@
                     .get(&candidate.key())
                     .is_some_and(|advice| advice.has_ticket(context.now));
             if !has_ticket && self.idle_adviser_host().is_none() {
+                self.note_waiting(context, &mut room, candidate, queue, has_ticket);
                 continue;
             }
-            let mut workers = self.dispatchable_workers(context, candidate, queue);
+            let at_once = if step.gang { waiting } else { 1 };
+            let has_room = self.room_bound(context, &mut room, queue, &step.need) >= at_once;
+            let mut workers = if has_room {
+                self.dispatchable_workers(context, candidate, queue)
+            } else {
+                Vec::new()
+            };
             let placed = place::place(
                 candidate.step(),
-                waiting,
+                within,
                 &limit,
                 &candidate.speed_tolerance,
                 &mut workers,
@@ -121,9 +138,21 @@
             for (index, position) in candidate.waiting.iter().zip(&placed) {
                 self.assign(context, candidate, *index, &workers[*position].worker);
             }
+            self.shares.charge(candidate, placed.len());
             if placed.len() == waiting {
                 continue;
             }
+            if placed.len() == within {
+                order.defer_rest(candidate, within);
+                continue;
+            }
+            claims.record_waiting(context, candidate, queue, placed.len(), &limit);
+            if has_room {
+                self.refresh_room_bound(context, &mut room, queue, &step.need);
+            }
+            if place::fit_count(&step.need, &limit) > placed.len() {
+                self.note_waiting(context, &mut room, candidate, queue, has_ticket);
+            }
             let mut has_reservation = false;
             if candidate.step().gang && reserving_gangs < MAX_RESERVING_GANGS {
                 has_reservation = self.reserve_workers(context, candidate, queue, &limit);
@@ -136,6 +165,8 @@
                 self.request_advice(context, candidate, queue, terms, &limit, has_reservation);
             }
         }
+        self.shares.report(context, &mut self.load_report);
+        self.reclaim(context, claims);
         self.below_half_since.retain(|account, _| limit_reservations.contains_key(account));
         self.set_limit_reservations(limit_reservations);
         self.worker_reservations.retain(|_, (job, step, _)| {
@@ -208,6 +239,7 @@
             return;
         }
         let mut critical_paths = None;
+        let has_runs = self.has_runs(id);
         for (step, tasks) in job.progress.steps.iter().enumerate() {
             let mut waiting = Vec::new();
             for (index, task) in tasks.iter().enumerate() {
@@ -215,7 +247,7 @@
                     continue;
                 }
                 let task_ref = TaskRef { job: ids::JobId::clone(id), step, index };
-                if !self.runs.contains_key(&task_ref) {
+                if !has_runs || !self.runs.contains_key(&task_ref) {
                     waiting.push(index);
                 }
             }
@@ -231,7 +263,7 @@
                 job.accepted_wall_ms,
                 context.wall_ms,
                 critical_paths[step],
-                self.beyond_share.contains(id),
+                self.shares.exceeded_bucket(id),
             );
             let speed_tolerance = ranking::speed_tolerance(
                 rank,
@@ -263,7 +295,7 @@
         let Some(account) = context.declaration.account(name) else {
             return Resources::ZERO;
         };
-        let used = self.account_used.get(name).copied().unwrap_or_default();
+        let used = self.shares.used(name);
         let half = account.cap.scaled(1, 2);
         let mut left = account.cap.minus(reserved);
         if used.fits_in(&half) {
@@ -286,7 +318,8 @@
         let Some(account) = context.declaration.account(name) else {
             return Resources::ZERO;
         };
-        account.cap.minus(&self.account_used.get(name).copied().unwrap_or_default())
+        let held = self.reclaim.held_of_limit(name, spec);
+        account.cap.minus(&self.shares.used(name)).minus(&held)
     }
 
     fn assign(
@@ -330,6 +363,7 @@
             progress: None,
         };
         self.dirty.insert(ids::JobId::clone(&candidate.job));
+        self.reclaim.on_assigned(&task, worker);
         self.pending_starts.push(task.clone());
         self.insert_run(task, run);
     }
--- a/crates/cell/src/decider/takeover.rs
+++ b/crates/cell/src/decider/takeover.rs
@@ -8,6 +8,8 @@
 
 use crate::decider::forecast::Forecasts;
 use crate::decider::learned::{learned_run_times, run_time_model};
+use crate::decider::reclaim::Reclaim;
+use crate::decider::shares::AccountShares;
 use crate::decider::{Context, Decider, Predecessor, Term};
 use crate::event::WorkerRecord;
 use crate::follower::FollowerUpdate;
@@ -61,11 +63,10 @@
             next_poll_pass_at: time::Duration::ZERO,
             last_lease_check_at: time::Duration::ZERO,
             stopping: BTreeSet::new(),
-            account_used: Map::default(),
+            shares: AccountShares::default(),
+            reclaim: Reclaim::default(),
             limit_reservations: Map::default(),
             below_half_since: Map::default(),
-            submission_buckets: Map::default(),
-            beyond_share: BTreeSet::new(),
             attempts_checked_for: 0,
             advice: BTreeMap::new(),
             advice_requests: BTreeMap::new(),
@@ -200,6 +201,7 @@
             return;
         };
         self.mark_poll_candidate(&record.id);
+        self.reclaim.record_drain(&info);
         let Some(worker) = self.workers.get_mut(&record.id) else {
             tracing::info!(worker = %record.id, zone = %info.zone, life = info.incarnation,
                 "worker listed");
