Reserve amounts for gangs, and request their advice as a whole

Cause: at most two gangs held reservations of whole workers, lost them to any gang with an earlier latest start, and made most advice requests in vain. Change: with options.load.gangs, gangs reserve slots by plans that keep their place, advice for a gang is requested at one moment, and hosts are divided among gangs and other steps.

--- a/crates/cell/src/advice.rs
+++ b/crates/cell/src/advice.rs
@@ -68,6 +68,26 @@
         (ticket.valid_until > now.saturating_add(MIN_TICKET_VALIDITY)).then_some(ticket)
     }
 
+    /// Until when the worker's ticket can be used, or the one that is requested, which is expected to
+    /// be usable until `requested_until`.
+    pub fn usable_until(&self, worker: &str, requested_until: time::Duration) -> time::Duration {
+        let Some(ticket) = self.eligible.get(worker) else {
+            return time::Duration::ZERO;
+        };
+        let until = ticket.valid_until.saturating_sub(MIN_TICKET_VALIDITY);
+        if self.requested.contains(worker) { until.max(requested_until) } else { until }
+    }
+
+    /// Whether an open request names the worker.
+    pub fn is_requested(&self, worker: &str) -> bool {
+        self.requested.contains(worker)
+    }
+
+    /// Whether the adviser has said whether the worker is eligible.
+    pub fn is_known(&self, worker: &str) -> bool {
+        self.eligible.contains_key(worker) || self.ineligible.contains(worker)
+    }
+
     /// Whether any ticket is valid for long enough to be used.
     pub fn has_ticket(&self, now: time::Duration) -> bool {
         let usable_from = now.saturating_add(MIN_TICKET_VALIDITY);
--- a/crates/cell/src/decider/adviser.rs
+++ b/crates/cell/src/decider/adviser.rs
@@ -53,6 +53,10 @@
                 continue;
             };
             let limit = self.account_left(context, &candidate.spec);
+            if context.options.load.gangs {
+                self.advise_on_submit(context, candidate, queue, terms, &limit);
+                continue;
+            }
             self.request_advice(context, candidate, queue, terms, &limit, false);
         }
     }
@@ -126,7 +130,8 @@
         // share.
         eligible.sort_by_key(|worker| {
             let is_own = self
-                .worker_reservations
+                .gangs
+                .whole_workers
                 .get(&worker.worker)
                 .is_some_and(|(job, step, _)| *job == key.0 && *step == key.1);
             (!is_own, std::cmp::Reverse(worker.free.dominant_share_ppm(&worker.capacity)))
@@ -169,7 +174,7 @@
         Some(workers)
     }
 
-    fn send_advice_request(
+    pub(super) fn send_advice_request(
         &mut self,
         context: &mut Context<'_>,
         candidate: &Candidate,
@@ -194,6 +199,7 @@
         let pending = PendingAdvice {
             job: ids::JobId::clone(&candidate.job),
             step: candidate.step,
+            is_gang: candidate.step().gang,
             host: host.clone(),
             workers,
             expires_at: context.now.saturating_add(timeout).saturating_add(ADVISER_TIMEOUT_MARGIN),
@@ -207,7 +213,7 @@
     }
 
     /// Sorts the workers by their free share again if the last sort is too old.
-    fn sort_workers_by_free(&mut self, now: time::Duration) {
+    pub(super) fn sort_workers_by_free(&mut self, now: time::Duration) {
         if now < self.workers_sorted_at.saturating_add(SORT_INTERVAL)
             && !self.workers_by_free.is_empty()
         {
@@ -263,6 +269,9 @@
             tracing::warn!(job = %request.job, step = request.step, host = request.host.as_deref(),
                 "no response to the advice request");
         }
+        if let Some(response) = response {
+            self.learn_eligible_share(context, &request, response);
+        }
         if let Some(advice) = self.advice.get_mut(&(request.job, request.step)) {
             advice.record_response(context.now, &request.workers, response);
         }
--- a/crates/cell/src/decider/availability.rs
+++ b/crates/cell/src/decider/availability.rs
@@ -61,11 +61,8 @@
         if !worker.accepts_work(context.now) || !is_suitable(context, step, queue, worker) {
             return None;
         }
-        let reservation = self.worker_reservations.get(&worker.info.id);
-        let is_reserved = reservation
-            .is_some_and(|(job, step, _)| *job != candidate.job || *step != candidate.step);
-        // More urgent steps may use reserved workers if no others are left.
-        if is_reserved && reservation.is_some_and(|(_, _, priority)| *priority <= queue.priority) {
+        let (free, is_reserved) = self.gangs.free_for(candidate, context.now, worker)?;
+        if step.gang && self.gangs.is_excluded(&candidate.key(), &worker.info.id) {
             return None;
         }
         let spread_left = match step.spread_limit {
@@ -81,7 +78,7 @@
         let data_slowdown = if is_data_local { 1.0 } else { context.options.remote_slowdown };
         Some(AvailableWorker {
             worker: ids::WorkerId::clone(&worker.info.id),
-            free: worker.free(),
+            free,
             capacity: worker.info.capacity,
             rack: worker.rack().cloned(),
             slowdown: self.speeds.slowdown(context.now, &worker.info.id) * data_slowdown,
@@ -132,7 +129,7 @@
         let waiting = candidate.waiting.len();
         let mut covered: usize = 0;
         let mut are_reserved_available = true;
-        for (id, (job, step, _)) in &self.worker_reservations {
+        for (id, (job, step, _)) in &self.gangs.whole_workers {
             if *job != key.0 || *step != key.1 {
                 continue;
             }
@@ -150,7 +147,7 @@
         if are_reserved_available && covered >= waiting {
             return true;
         }
-        self.worker_reservations.retain(|_, (job, step, _)| *job != key.0 || *step != key.1);
+        self.gangs.whole_workers.retain(|_, (job, step, _)| *job != key.0 || *step != key.1);
         // Reserved workers would be of no use while the account's limit is exceeded.
         if place::fit_count(&candidate.step().need, limit) < waiting {
             return false;
@@ -169,14 +166,19 @@
             "reserved workers for a gang");
         for worker in reserved {
             let reservation = (ids::JobId::clone(&key.0), key.1, queue.priority);
-            self.worker_reservations.insert(worker, reservation);
+            self.gangs.whole_workers.insert(worker, reservation);
         }
         true
     }
 }
 
 /// Whether the worker is of the kind and in a place that the step can run in.
-fn is_suitable(context: &Context<'_>, step: &Step, queue: &Queue, worker: &Worker) -> bool {
+pub(super) fn is_suitable(
+    context: &Context<'_>,
+    step: &Step,
+    queue: &Queue,
+    worker: &Worker,
+) -> bool {
     let has_label =
         step.required_label.as_ref().is_none_or(|label| worker.info.labels.contains(label));
     has_label
--- a/crates/cell/src/decider/dispatch.rs
+++ b/crates/cell/src/decider/dispatch.rs
@@ -158,6 +158,10 @@
         worker: &ids::WorkerId,
         reason: RejectReason,
     ) {
+        if let Some(run) = self.runs.get(task).filter(|_| reason != RejectReason::Ticket) {
+            let number = run.number;
+            self.on_gang_broken(context, &key_of(task), number, Some(worker), "start rejected");
+        }
         match reason {
             RejectReason::Fenced => {
                 self.deposed = Some("a later decider has contacted a worker");
@@ -283,6 +287,10 @@
         };
         tracing::info!(job = %task.job, step = task.step, task = task.index, run = run.number,
             worker = %run.worker, reason, "run lost");
+        if !matches!(run.phase, RunPhase::Stopping { .. } | RunPhase::Stopped { .. }) {
+            // A worker that is gone takes no part anyway, and an expired ticket is not its fault.
+            self.on_gang_broken(context, &key_of(task), run.number, None, "member lost");
+        }
         self.stop_gang(context, task);
     }
 
@@ -342,6 +350,10 @@
             .get(task)
             .is_some_and(|run| run.number == end.number && run.worker == *worker_id);
         if is_current {
+            if matches!(kind, EndKind::Failed | EndKind::Lapsed | EndKind::Alone) {
+                let worker = (kind == EndKind::Failed).then_some(worker_id);
+                self.on_gang_broken(context, &key_of(task), end.number, worker, gang_end(kind));
+            }
             if kind == EndKind::Done {
                 self.record_run_time(context, task);
             }
@@ -420,3 +432,17 @@
         }
     }
 }
+
+/// The step that the task belongs to.
+fn key_of(task: &TaskRef) -> (ids::JobId, StepIndex) {
+    (ids::JobId::clone(&task.job), task.step)
+}
+
+/// Why a gang was broken, for metrics.
+fn gang_end(kind: EndKind) -> &'static str {
+    match kind {
+        EndKind::Failed => "member failed",
+        EndKind::Alone => "members did not start",
+        _ => "lease lapsed",
+    }
+}
--- a/crates/cell/src/decider/mod.rs
+++ b/crates/cell/src/decider/mod.rs
@@ -15,7 +15,9 @@
 
 use crate::advice::StepAdvice;
 use crate::cell_state::CellState;
+use crate::decider::advice_calls::AdviserLoad;
 use crate::decider::append::{InFlightAppend, append_effect};
+use crate::decider::gangs::GangReservations;
 use crate::decider::schedule::LimitReservation;
 use crate::declaration::Declaration;
 use crate::effect::{Effect, Target};
@@ -30,11 +32,13 @@
 use crate::speed::WorkerSpeeds;
 use crate::worker::{Worker, WorkerIncarnation};
 
+mod advice_calls;
 mod adviser;
 mod append;
 mod availability;
 mod dispatch;
 mod forecast;
+mod gangs;
 mod polls;
 mod relay;
 mod requests;
@@ -77,6 +81,7 @@
 struct PendingAdvice {
     job: ids::JobId,
     step: StepIndex,
+    is_gang: bool,
     host: Option<ids::HostId>,
     workers: Vec<ids::WorkerId>,
     expires_at: time::Duration,
@@ -180,8 +185,9 @@
     waiting_since: BTreeMap<(ids::JobId, StepIndex), time::Duration>,
     /// The connected hosts, which can send advice requests and relay calls to workers.
     peers: BTreeMap<ids::HostId, PeerInfo>,
-    /// Workers that are reserved for a gang, with the priority of its queue.
-    worker_reservations: Map<ids::WorkerId, (ids::JobId, StepIndex, u32)>,
+    /// What is reserved for waiting gangs on the workers.
+    gangs: GangReservations,
+    adviser_load: AdviserLoad,
     local_outcomes: Vec<(ids::Ticket, RequestOutcome)>,
     load_report: LoadReport,
     /// The claim that releases the decider role, set when the host shuts down.
--- a/crates/cell/src/decider/schedule.rs
+++ b/crates/cell/src/decider/schedule.rs
@@ -36,6 +36,8 @@
     pub(super) step: StepIndex,
     pub(super) spec: sync::Arc<JobSpec>,
     pub(super) waiting: Vec<TaskIndex>,
+    /// The expected run time of a task.
+    pub(super) run_time: time::Duration,
 }
 
 impl Candidate {
@@ -66,6 +68,7 @@
         let mut limit_reservations: Map<AccountId, LimitReservation> = Map::default();
         let mut reserving_gangs = 0;
         let mut reserving_steps = Vec::new();
+        let mut gang_pass = self.begin_load_pass(context, &candidates);
         for candidate in &candidates {
             let Some(queue) = context.declaration.queue(&candidate.spec.queue) else {
                 continue;
@@ -106,10 +109,19 @@
                     .advice
                     .get(&candidate.key())
                     .is_some_and(|advice| advice.has_ticket(context.now));
-            if !has_ticket && self.idle_adviser_host().is_none() {
+            if !has_ticket
+                && (gang_pass.is_none() || !step.gang)
+                && self.idle_adviser_host().is_none()
+            {
                 continue;
             }
             let mut workers = self.dispatchable_workers(context, candidate, queue);
+            if let Some(pass) = &gang_pass
+                && step.gang
+                && !self.may_use_failed(candidate)
+            {
+                workers.retain(|worker| !pass.has_failed(&worker.worker));
+            }
             let placed = place::place(
                 candidate.step(),
                 waiting,
@@ -121,6 +133,13 @@
                 self.assign(context, candidate, *index, &workers[*position].worker);
             }
             if placed.len() == waiting {
+                if gang_pass.is_some() && step.gang {
+                    self.on_gang_assigned(context, candidate);
+                }
+                continue;
+            }
+            if let Some(pass) = &mut gang_pass {
+                self.prepare_start(context, pass, candidate, queue, &limit);
                 continue;
             }
             let mut has_reservation = false;
@@ -135,9 +154,12 @@
                 self.request_advice(context, candidate, queue, terms, &limit, has_reservation);
             }
         }
+        if let Some(pass) = &gang_pass {
+            self.report_gang_levels(pass);
+        }
         self.below_half_since.retain(|account, _| limit_reservations.contains_key(account));
         self.set_limit_reservations(limit_reservations);
-        self.worker_reservations.retain(|_, (job, step, _)| {
+        self.gangs.whole_workers.retain(|_, (job, step, _)| {
             reserving_steps.iter().any(|(reserving_job, reserving_step)| {
                 reserving_job == job && reserving_step == step
             })
@@ -245,6 +267,7 @@
                 step,
                 spec: sync::Arc::clone(&job.spec),
                 waiting,
+                run_time: self.speeds.expected(&job.spec.queue, job.spec.steps[step].estimate()),
             });
         }
     }
@@ -326,6 +349,7 @@
             is_confirmed: false,
             decided_at: context.now,
             is_resumed: state.checkpoint.is_some(),
+            expected_run_time: candidate.run_time,
             progress: None,
         };
         self.dirty.insert(ids::JobId::clone(&candidate.job));
--- a/crates/cell/src/decider/takeover.rs
+++ b/crates/cell/src/decider/takeover.rs
@@ -6,6 +6,8 @@
 use pier_core::ids;
 use pier_core::map::Map;
 
+use crate::decider::advice_calls::AdviserLoad;
+use crate::decider::gangs::GangReservations;
 use crate::decider::{Context, Decider, Predecessor, Term};
 use crate::event::WorkerRecord;
 use crate::follower::FollowerUpdate;
@@ -73,7 +75,8 @@
             workers_sorted_at: time::Duration::ZERO,
             waiting_since: BTreeMap::new(),
             peers: BTreeMap::new(),
-            worker_reservations: Map::default(),
+            gangs: GangReservations::default(),
+            adviser_load: AdviserLoad::default(),
             local_outcomes: Vec::new(),
             load_report: LoadReport::default(),
             release: None,
@@ -101,6 +104,7 @@
                         is_confirmed: false,
                         decided_at: context.now,
                         is_resumed: true,
+                        expected_run_time: job.spec.steps[step].estimate(),
                         progress: None,
                     };
                     adopted.push((TaskRef { job: ids::JobId::clone(id), step, index }, run));
--- a/crates/cell/src/ranking.rs
+++ b/crates/cell/src/ranking.rs
@@ -17,7 +17,7 @@
 /// freely, within the range of [`time::Duration`].
 const MAX_OBJECTIVE: time::Duration = time::Duration::from_secs(100 * 365 * 24 * 60 * 60);
 /// A result that takes longer than this multiple of the objective is worthless to the caller.
-const EXPIRED_AFTER_OBJECTIVES: u32 = 3;
+pub(crate) const EXPIRED_AFTER_OBJECTIVES: u32 = 3;
 /// The part of the objective, in percent, that is set aside for the latency of requests and
 /// responses and for run time estimates that are too short.
 const DEADLINE_MARGIN_PERCENT: u32 = 8;
--- a/crates/cell/src/run.rs
+++ b/crates/cell/src/run.rs
@@ -68,6 +68,8 @@
     /// Whether the run resumed from a checkpoint. It then takes less than the whole run time of the
     /// task.
     pub is_resumed: bool,
+    /// The expected run time of the task.
+    pub expected_run_time: time::Duration,
     /// The completed percentage at the last change that a poll has shown, and the time of that
     /// poll.
     pub progress: Option<(u8, time::Duration)>,
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -188,6 +188,11 @@
         !self.is_replaced && (!self.runs.is_empty() || is_needed)
     }
 
+    /// Whether a run has failed on the worker recently.
+    pub fn has_failed_recently(&self, now: time::Duration) -> bool {
+        !self.last_failure_at.is_zero() && now < self.last_failure_at.saturating_add(FAILURE_WINDOW)
+    }
+
     /// Whether the worker is avoided because its recent tasks failed.
     pub fn is_avoided(&self, now: time::Duration) -> bool {
         self.recent_failures >= AVOID_AFTER_FAILURES
