Let more gangs learn and reserve at a time, on more workers

Cause: gangs that reserve on a few workers which have to be emptied wait for 3 s, and at most 8 of a queue learned at a time where they may run. Change: calls to learn name workers for six times the gang, 24 gangs of a queue learn and 48 reserve at a time; the simulated adviser can take the declared time.

--- a/crates/cell/src/decider/advice_calls.rs
+++ b/crates/cell/src/decider/advice_calls.rs
@@ -21,7 +21,7 @@
 
 /// The gangs of a queue that learn where they may run before it is their turn to reserve, so that
 /// the next ones can begin at once.
-const MAX_LEARNERS_PER_QUEUE: usize = 8;
+const MAX_LEARNERS_PER_QUEUE: usize = 24;
 /// A gang learns of more workers if those that may run it would hold less than this many percent of
 /// it when they are empty.
 const MIN_KNOWN_PERCENT: usize = 150;
--- a/crates/cell/src/decider/gangs.rs
+++ b/crates/cell/src/decider/gangs.rs
@@ -21,7 +21,7 @@
 use crate::worker::Worker;
 
 /// The most gangs that reserve capacity at the same time. It bounds the time of a pass.
-const MAX_RESERVING_GANGS: usize = 16;
+const MAX_RESERVING_GANGS: usize = 48;
 /// The most gangs without a reservation that are planned for in a pass, for the same reason.
 const MAX_NEW_PLANS: usize = 16;
 /// The most capacity that is reserved and idle, in parts per million.
--- a/crates/cell/tests/sim/invariants.rs
+++ b/crates/cell/tests/sim/invariants.rs
@@ -26,6 +26,7 @@
     pub start_times_ms: Vec<u64>,
     pub claims: u64,
     pub advice_requests_by_host: BTreeMap<usize, u64>,
+    pub advice_calls: Vec<AdviceCall>,
     pub worker_calls_by_host: BTreeMap<usize, u64>,
     pub cell_reads_by_host: BTreeMap<usize, u64>,
     /// The number of messages between hosts.
@@ -40,6 +41,16 @@
     pub(super) done: BTreeSet<TaskRef>,
 }
 
+/// A call of the adviser.
+#[derive(Debug)]
+pub struct AdviceCall {
+    pub job: String,
+    pub is_gang: bool,
+    pub at_ms: u64,
+    pub named: usize,
+    pub took_ms: u64,
+}
+
 impl Sim {
     pub(super) fn check_sizes(&mut self, records: &[pier_cell::record::Record]) {
         let mut bytes = 0;
--- a/crates/cell/tests/sim/mod.rs
+++ b/crates/cell/tests/sim/mod.rs
@@ -17,6 +17,7 @@
 pub mod worker_polls;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{self, Hash, Hasher};
 use std::sync;
 use std::time;
 
@@ -26,7 +27,7 @@
 use pier_cell::host::Host;
 use pier_cell::job::{JobSpec, Step};
 use pier_cell::options::Options;
-use pier_cell::peer::Advice;
+use pier_cell::peer::{Advice, AdviceRequest};
 use pier_cell::worker::WorkerInfo;
 use pier_core::ids;
 use pier_core::resources::Resources;
@@ -35,7 +36,7 @@
 
 use gangs::GangRounds;
 use hosts::SimHost;
-use invariants::Observations;
+use invariants::{AdviceCall, Observations};
 use reads::WaitingRead;
 use waits::Waits;
 use worker::SimWorker;
@@ -106,6 +107,13 @@
     pub lost_worker_responses_percent: u32,
     pub run_ms: u64,
     pub advice_ms: u64,
+    /// The percentage of workers that are eligible for a step, by queue. The adviser then takes the
+    /// time that the declaration states.
+    pub eligible_percent: BTreeMap<String, u64>,
+    /// Whether tasks run for as long as estimated.
+    pub runs_as_estimated: bool,
+    /// Workers on which a third of the runs fail.
+    pub failing_workers: BTreeSet<String>,
     pub observed: Observations,
     /// The real time that each step of a decider took.
     pub step_durations: Vec<time::Duration>,
@@ -183,6 +191,9 @@
             lost_worker_responses_percent: 0,
             run_ms: 800,
             advice_ms: 10,
+            eligible_percent: BTreeMap::new(),
+            runs_as_estimated: false,
+            failing_workers: BTreeSet::new(),
             observed: Observations::default(),
             step_durations: Vec::new(),
             declaration: declaration.clone(),
@@ -357,6 +368,43 @@
         }
     }
 
+    /// The eligible workers among the named ones with their tickets, and how long the adviser takes.
+    fn advise(&mut self, request: &AdviceRequest) -> (Vec<(ids::WorkerId, String)>, u64) {
+        let spec = &self.specs[&*request.job];
+        let mut call = AdviceCall {
+            job: request.job.to_string(),
+            is_gang: spec.steps[request.step].gang,
+            at_ms: self.now_ms,
+            named: request.workers.len(),
+            took_ms: self.advice_ms,
+        };
+        let percent = self.eligible_percent.get(&*spec.queue);
+        let mut eligible = Vec::new();
+        for worker in &request.workers {
+            let is_eligible = match percent {
+                // Two of every three workers may run any step.
+                None => worker.as_bytes().last().is_some_and(|digit| digit % 3 != 0),
+                Some(percent) => {
+                    let mut hasher = hash::DefaultHasher::new();
+                    (&*request.job, request.step, &**worker).hash(&mut hasher);
+                    hasher.finish() % 100 < *percent
+                }
+            };
+            if is_eligible {
+                eligible.push((worker.clone(), "ticket".to_owned()));
+            }
+        }
+        let queue = self.declaration.queue(&spec.queue);
+        if let (Some(terms), true) = (queue.and_then(|queue| queue.advice), percent.is_some()) {
+            let named = u32::try_from(call.named).expect("few workers");
+            let took = terms.base + terms.per_worker * named;
+            call.took_ms = u64::try_from(took.as_millis()).expect("a short time");
+        }
+        let after = call.took_ms;
+        self.observed.advice_calls.push(call);
+        (eligible, after)
+    }
+
     fn perform(&mut self, host: usize, process_number: u64, effect: Effect) {
         if self.hosts[host].process_number != process_number {
             return;
@@ -407,15 +455,8 @@
             Effect::CallWorker(call) => self.call_worker(host, *call),
             Effect::RequestAdvice(request) => {
                 *self.observed.advice_requests_by_host.entry(host).or_default() += 1;
-                let mut eligible = Vec::new();
-                for worker in &request.workers {
-                    // Two of every three workers may run any step.
-                    if worker.as_bytes().last().is_some_and(|digit| digit % 3 != 0) {
-                        eligible.push((worker.clone(), "ticket".to_owned()));
-                    }
-                }
+                let (eligible, after) = self.advise(&request);
                 let advice = Some(Advice { eligible, valid_ms: 1_500 });
-                let after = self.advice_ms;
                 self.send_event(
                     host,
                     after,
--- a/crates/cell/tests/sim/reads.rs
+++ b/crates/cell/tests/sim/reads.rs
@@ -214,7 +214,7 @@
         self.stored_cell_state().job_state(id)
     }
 
-    pub(super) fn stored_cell_state(&self) -> pier_cell::cell_state::CellState {
+    pub fn stored_cell_state(&self) -> pier_cell::cell_state::CellState {
         let mut cell_state = pier_cell::cell_state::CellState::default();
         let mut after: Option<String> = None;
         loop {
--- a/crates/cell/tests/sim/worker_calls.rs
+++ b/crates/cell/tests/sim/worker_calls.rs
@@ -264,6 +264,9 @@
         };
         let step = &spec.steps[request.task.step];
         let (need, is_gang) = (step.need, step.gang);
+        let run_ms = if self.runs_as_estimated { step.estimate_ms } else { run_ms };
+        let is_failing = self.failing_workers.contains(id) && self.rng.random_range(0..3) == 0;
+        let kind = if is_failing { EndKind::Failed } else { kind };
         let Some(worker) = self.reachable_worker(id) else {
             return StartResponse::NoAnswer;
         };
--- a/crates/load/src/advice.rs
+++ b/crates/load/src/advice.rs
@@ -10,7 +10,7 @@
 pub const MAX_WORKERS_PER_CALL: usize = 100;
 /// The calls that tell where a gang may run name workers for this many times the gang, because most
 /// of their capacity is in use.
-const GANG_COVERAGE: usize = 3;
+const GANG_COVERAGE: usize = 6;
 /// The share of eligible workers that is assumed before any are known, and the number of workers
 /// that this assumption weighs as much as.
 const PRIOR_SHARE: f64 = 0.5;
