--- a/crates/cell/src/decider/mod.rs
+++ b/crates/cell/src/decider/mod.rs
@@ -14,8 +14,10 @@
 
 use crate::advice::StepAdvice;
 use crate::cell_state::CellState;
+use crate::decider::advice_calls::AdviserLoad;
 use crate::decider::append::{InFlightAppend, append_effect};
 use crate::decider::forecast::Forecasts;
+use crate::decider::gangs::GangReservations;
 use crate::decider::reclaim::Reclaim;
 use crate::decider::schedule::LimitReservation;
 use crate::decider::shares::AccountShares;
@@ -31,12 +33,14 @@
 use crate::speed::WorkerSpeeds;
 use crate::worker::{Worker, WorkerIncarnation};
 
+mod advice_calls;
 mod adviser;
 mod append;
 mod availability;
 mod dispatch;
 mod forecast;
 mod forecast_build;
+mod gangs;
 mod learned;
 mod polls;
 mod reclaim;
@@ -82,6 +86,7 @@
 struct PendingAdvice {
     job: ids::JobId,
     step: StepIndex,
+    is_gang: bool,
     host: Option<ids::HostId>,
     workers: Vec<ids::WorkerId>,
     expires_at: time::Duration,
@@ -186,8 +191,9 @@
     waiting_since: BTreeMap<(ids::JobId, StepIndex), time::Duration>,
     /// The connected hosts, which can send advice requests and relay calls to workers.
     peers: BTreeMap<ids::HostId, PeerInfo>,
-    /// Workers that are reserved for a gang, with the priority of its queue.
-    worker_reservations: Map<ids::WorkerId, (ids::JobId, StepIndex, u32)>,
+    /// What is reserved for waiting gangs on the workers.
+    gangs: GangReservations,
+    adviser_load: AdviserLoad,
     local_outcomes: Vec<(ids::Ticket, RequestOutcome)>,
     load_report: LoadReport,
     /// The claim that releases the decider role, set when the host shuts down.
