--- a/crates/cell/src/decider/forecast.rs
+++ b/crates/cell/src/decider/forecast.rs
@@ -61,6 +61,7 @@
             forecasts.corrections.insert(ids::QueueId::clone(queue), correction);
         }
         forecasts.eligible = EligibleShares::from_values(&learned.eligible);
+        tracing::info!(queues = learned.run_times.len(), "took over what was learned of the load");
         forecasts
     }
 
--- a/crates/cell/tests/learned_load.rs
+++ b/crates/cell/tests/learned_load.rs
@@ -198,7 +198,7 @@
 
 /// Which of an urgent job and one of another queue a new decider starts first on a single worker,
 /// after it has read these records.
-fn first_start(load: LoadOptions, records: &[Record]) -> String {
+fn first_start(load: LoadOptions, records: &[&Record]) -> String {
     let mut cell = Cell::new(load, two_queues(), Resources::MAX, &["w0"]);
     let mut cell_state = CellState::default();
     for (offset, record) in (0..).zip(records) {
@@ -233,25 +233,31 @@
     let learned = Record::load(&tenfold());
     assert_eq!(first_start(ON, &[]), "urgent");
     // By the learned run time the urgent job is late in any case.
-    assert_eq!(first_start(ON, &[learned.clone()]), "other");
-    assert_eq!(first_start(LoadOptions::default(), &[learned.clone()]), "urgent");
+    assert_eq!(first_start(ON, &[&learned]), "other");
+    assert_eq!(first_start(LoadOptions::default(), &[&learned]), "urgent");
     let undecodable =
         Record { key: LOAD_KEY.to_owned(), value: Some(b"{\"run_times\":3}".to_vec()) };
-    assert_eq!(first_start(ON, &[undecodable.clone()]), "urgent");
-    assert_eq!(first_start(ON, &[learned, undecodable]), "other", "the earlier record stays");
+    assert_eq!(first_start(ON, &[&undecodable]), "urgent");
+    assert_eq!(first_start(ON, &[&learned, &undecodable]), "other", "the earlier record stays");
     // A later version may add to the record.
     let mut value = serde_json::to_value(tenfold()).expect("a record");
     value["more"] = 1.into();
     let later = Record { key: LOAD_KEY.to_owned(), value: Some(value.to_string().into_bytes()) };
-    assert_eq!(first_start(ON, &[later]), "other");
+    assert_eq!(first_start(ON, &[&later]), "other");
 }
 
 /// Guards against a record with every append, against one without an append that is due anyway, and
 /// against one while no part of load control is in use. Older versions must skip unknown keys.
 #[test]
 fn what_is_learned_is_recorded_seldom() {
+    let timing = AdviserTiming {
+        base: time::Duration::from_millis(10),
+        per_worker: time::Duration::ZERO,
+        validity: time::Duration::from_millis(1_500),
+    };
     for (load, is_recorded) in [(ON, true), (LoadOptions::default(), false)] {
-        let mut cell = Cell::new(load, only_queue(), Resources::MAX, &["w0", "w1"]);
+        let queues = vec![queue(Some(timing))];
+        let mut cell = Cell::new(load, queues, Resources::MAX, &["w0", "w1"]);
         for job in 0..30 {
             cell.submit(&format!("job{job}"), "queue", single_step(1, false));
         }
--- a/crates/cell/tests/speed.rs
+++ b/crates/cell/tests/speed.rs
@@ -4,9 +4,10 @@
 
 use pier_cell::job::Step;
 use pier_cell::place::{self, AvailableWorker, SpeedTolerance};
-use pier_cell::speed::{SpeedClass, WorkerSpeeds};
+use pier_cell::speed::{RunTimeModel, SpeedClass, WorkerSpeeds};
 use pier_core::ids;
 use pier_core::resources::Resources;
+use pier_load::run_times::RunTimes;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -14,6 +15,8 @@
 const WORKERS: usize = 12;
 /// The slowdown of every third worker.
 const SLOW_FACTOR: f64 = 1.3;
+/// Speeds are learned without any part of load control, and with one.
+const MODELS: [RunTimeModel; 2] = [RunTimeModel::MeanRatio, RunTimeModel::Learned];
 
 fn true_slowdown(worker: usize) -> f64 {
     if worker % 3 == 2 { SLOW_FACTOR } else { 1.0 }
@@ -49,8 +52,8 @@
 
 /// Speeds learned from run times on every worker, with estimates that are off by a factor of the
 /// queue and by a random factor.
-fn estimated_speeds(rng: &mut StdRng, runs_each: usize) -> WorkerSpeeds {
-    let mut speeds = WorkerSpeeds::default();
+fn estimated_speeds(model: RunTimeModel, rng: &mut StdRng, runs_each: usize) -> WorkerSpeeds {
+    let mut speeds = WorkerSpeeds::new(model, RunTimes::default());
     for run in 0..runs_each {
         // The last runs end after five seconds. Each worker finishes two per second.
         let at_s = 5.0 - 0.5 * f64::from(u32::try_from(runs_each - run).expect("few runs"));
@@ -72,32 +75,32 @@
 /// Guards against slow workers that are not detected because run time estimates are inaccurate.
 #[test]
 fn slow_workers_are_detected() {
-    let mut rng = StdRng::seed_from_u64(3);
-    let speeds = estimated_speeds(&mut rng, 10);
-    for worker in 0..WORKERS {
-        let slowdown = speeds.slowdown(time::Duration::from_secs(6), &id(worker));
-        let is_slow = SpeedClass::of(slowdown) > SpeedClass::Normal;
-        assert_eq!(is_slow, true_slowdown(worker) > 1.0, "worker {worker}: {slowdown}");
+    for model in MODELS {
+        let mut rng = StdRng::seed_from_u64(3);
+        let speeds = estimated_speeds(model, &mut rng, 10);
+        for worker in 0..WORKERS {
+            let slowdown = speeds.slowdown(time::Duration::from_secs(6), &id(worker));
+            let is_slow = SpeedClass::of(slowdown) > SpeedClass::Normal;
+            let is_truly_slow = true_slowdown(worker) > 1.0;
+            assert_eq!(is_slow, is_truly_slow, "{model:?}, worker {worker}: {slowdown}");
+        }
     }
 }
 
 /// Guards against a worker that is avoided permanently after it was slow for a few seconds.
 #[test]
 fn speed_estimates_decay() {
-    let mut speeds = estimated_speeds(&mut StdRng::seed_from_u64(4), 10);
-    for _ in 0..3 {
-        let at = time::Duration::from_secs(6);
-        speeds.record_run_time(at, &queue(), &id(0), seconds(4.0), seconds(0.48));
+    for model in MODELS {
+        let mut speeds = estimated_speeds(model, &mut StdRng::seed_from_u64(4), 10);
+        for _ in 0..3 {
+            let at = time::Duration::from_secs(6);
+            speeds.record_run_time(at, &queue(), &id(0), seconds(4.0), seconds(0.48));
+        }
+        let slowdown = |secs| speeds.slowdown(time::Duration::from_secs(secs), &id(0));
+        let (soon, later) = (slowdown(7), slowdown(90));
+        assert_eq!(SpeedClass::of(soon), SpeedClass::VerySlow, "{model:?}: {soon}");
+        assert_eq!(SpeedClass::of(later), SpeedClass::Normal, "{model:?}: {later}");
     }
-    let speed_class =
-        |secs| SpeedClass::of(speeds.slowdown(time::Duration::from_secs(secs), &id(0)));
-    assert_eq!(
-        speed_class(7),
-        SpeedClass::VerySlow,
-        "{}",
-        speeds.slowdown(time::Duration::from_secs(7), &id(0))
-    );
-    assert_eq!(speed_class(90), SpeedClass::Normal);
 }
 
 /// Guards against new work for a worker that responds while its tasks are stalled, and against a
@@ -160,9 +163,11 @@
 #[test]
 fn urgent_tasks_get_the_fast_workers() {
     let unknown = simulate(&WorkerSpeeds::default());
-    let known = simulate(&estimated_speeds(&mut StdRng::seed_from_u64(5), 10));
     assert!(unknown < 0.8, "the load does not tell placements apart: {unknown}");
-    assert!(known > 0.95, "{known} in time, {unknown} with speeds unknown");
+    for model in MODELS {
+        let known = simulate(&estimated_speeds(model, &mut StdRng::seed_from_u64(5), 10));
+        assert!(known > 0.95, "{model:?}: {known} in time, {unknown} with speeds unknown");
+    }
 }
 
 /// Guards against a gang that waits for its slowest member. Workers of equal speed are preferred.
