Keep run times that cannot be multiplied from ending the decider

Cause: callers choose estimates freely; with learned run times a few hundred times as long, the expected rest of a run overflowed.

Change: the product saturates.

Result: a new test with extreme estimates fails before and passes now.

--- a/crates/cell/src/decider/forecast_build.rs
+++ b/crates/cell/src/decider/forecast_build.rs
@@ -461,7 +461,7 @@
     let end = match run.progress {
         Some((percent, at)) if percent > 0 => {
             let left = u32::from(100_u8.saturating_sub(percent));
-            at.saturating_add(expected * left / 100)
+            at.saturating_add(expected.saturating_mul(left) / 100)
         }
         _ => since.saturating_add(expected),
     };
--- a/crates/cell/tests/learned_load.rs
+++ b/crates/cell/tests/learned_load.rs
@@ -45,6 +45,8 @@
     records: Vec<(time::Duration, Record)>,
     /// The jobs in the order of their first starts.
     started: Vec<ids::JobId>,
+    /// The progress that workers report.
+    percent: Option<u8>,
 }
 
 impl Cell {
@@ -62,6 +64,7 @@
             ends: BTreeMap::new(),
             records: Vec::new(),
             started: Vec::new(),
+            percent: None,
         }
     }
 
@@ -158,7 +161,7 @@
         let mut running = Vec::new();
         for run in self.running.iter().filter(|run| run.worker == *worker) {
             let (task, number) = (run.task.clone(), run.number);
-            running.push(ListedRun { task, number, checkpoint: None, percent: None });
+            running.push(ListedRun { task, number, checkpoint: None, percent: self.percent });
         }
         self.fixture.report_poll(worker, sent_at, running, ended);
     }
@@ -349,3 +352,24 @@
     cell.run(3_000);
     assert_eq!(cell.learned().eligible["queue"], [2.0, 2.0], "both workers were named and allowed");
 }
+
+/// Guards against a decider that stops because of estimates and sizes that callers choose freely.
+#[test]
+fn extreme_estimates_are_forecast() {
+    let mut cell = Cell::new(ON, only_queue(), cores(8), &["w0", "w1", "w2"]);
+    cell.percent = Some(1);
+    let mut learned = LoadRecord::default();
+    learned.run_times.insert("queue".into(), [200.0, 0.0, 4.6, 1.0, 0.05, 1.0]);
+    cell.fixture.cell_state.load = Some(learned);
+    cell.succeed();
+    cell.fixture.list_workers(&["w0", "w1", "w2"]);
+    let step = |estimate_ms, tasks| Step { estimate_ms, ..single_step(tasks, false).remove(0) };
+    let steps = [step(u64::MAX, 4_000), step(u64::MAX, 1), step(0, 1), step(0, 0)];
+    for (job, step) in steps.into_iter().enumerate() {
+        let no_need = Step { need: Resources::ZERO, after: vec![0], ..step.clone() };
+        cell.submit(&format!("job{job}"), "queue", vec![step, no_need]);
+        cell.run(500);
+    }
+    cell.run(1_000);
+    assert!(!cell.started.is_empty());
+}
