--- a/crates/cell/src/decider/forecast_build.rs
+++ b/crates/cell/src/decider/forecast_build.rs
@@ -450,7 +450,11 @@
 }
 
 /// When a run is expected to end whose task takes `expected` as a whole.
-fn expected_end(now: time::Duration, run: &Run, expected: time::Duration) -> time::Duration {
+pub(super) fn expected_end(
+    now: time::Duration,
+    run: &Run,
+    expected: time::Duration,
+) -> time::Duration {
     let since = match run.phase {
         RunPhase::Stopping { .. } | RunPhase::Stopped { .. } => {
             return now.saturating_add(STOP_TIME);
