--- a/crates/cell/src/decider/forecast_build.rs
+++ b/crates/cell/src/decider/forecast_build.rs
@@ -450,7 +450,11 @@
 }
 
 /// When a run is expected to end whose task takes `expected` as a whole.
-fn expected_end(now: time::Duration, run: &Run, expected: time::Duration) -> time::Duration {
+pub(super) fn expected_end(
+    now: time::Duration,
+    run: &Run,
+    expected: time::Duration,
+) -> time::Duration {
     let since = match run.phase {
         RunPhase::Stopping { .. } | RunPhase::Stopped { .. } => {
             return now.saturating_add(STOP_TIME);
@@ -461,7 +465,7 @@
     let end = match run.progress {
         Some((percent, at)) if percent > 0 => {
             let left = u32::from(100_u8.saturating_sub(percent));
-            at.saturating_add(expected * left / 100)
+            at.saturating_add(expected.saturating_mul(left) / 100)
         }
         _ => since.saturating_add(expected),
     };
--- a/crates/cell/tests/learned_load.rs
+++ b/crates/cell/tests/learned_load.rs
@@ -11,7 +11,8 @@
 use pier_cell::declaration::{Account, AdviserTiming, Declaration, Queue};
 use pier_cell::effect::{Effect, WorkerOperation};
 use pier_cell::event::{ListedEnd, ListedRun, StartResponse};
-use pier_cell::job::{JobSpec, Step, TaskRef};
+use pier_cell::follower::FollowerUpdate;
+use pier_cell::job::{JobSpec, Label, Step, TaskRef};
 use pier_cell::options::LoadOptions;
 use pier_cell::peer::Advice;
 use pier_cell::record::{LoadRecord, Record};
@@ -19,7 +20,7 @@
 use pier_core::ids;
 use pier_core::resources::Resources;
 
-use fixture::{Fixture, cores, queue, single_step, worker_call};
+use fixture::{Fixture, cores, queue, record, single_step, worker_call};
 
 /// A part that does not act in these tests, so that only what all parts share is in use.
 const ON: LoadOptions =
@@ -45,6 +46,8 @@
     records: Vec<(time::Duration, Record)>,
     /// The jobs in the order of their first starts.
     started: Vec<ids::JobId>,
+    /// The progress that workers report.
+    percent: Option<u8>,
 }
 
 impl Cell {
@@ -62,6 +65,7 @@
             ends: BTreeMap::new(),
             records: Vec::new(),
             started: Vec::new(),
+            percent: None,
         }
     }
 
@@ -158,7 +162,7 @@
         let mut running = Vec::new();
         for run in self.running.iter().filter(|run| run.worker == *worker) {
             let (task, number) = (run.task.clone(), run.number);
-            running.push(ListedRun { task, number, checkpoint: None, percent: None });
+            running.push(ListedRun { task, number, checkpoint: None, percent: self.percent });
         }
         self.fixture.report_poll(worker, sent_at, running, ended);
     }
@@ -182,6 +186,15 @@
     vec![queue(None)]
 }
 
+/// An adviser that is expected to take this time.
+fn adviser(millis: u64) -> AdviserTiming {
+    AdviserTiming {
+        base: time::Duration::from_millis(millis),
+        per_worker: time::Duration::ZERO,
+        validity: time::Duration::from_millis(1_500),
+    }
+}
+
 /// An urgent queue with little time, and another one with as little.
 fn two_queues() -> Vec<Queue> {
     let urgent = Queue { target_latency: time::Duration::from_millis(50), ..queue(None) };
@@ -198,7 +211,7 @@
 
 /// Which of an urgent job and one of another queue a new decider starts first on a single worker,
 /// after it has read these records.
-fn first_start(load: LoadOptions, records: &[Record]) -> String {
+fn first_start(load: LoadOptions, records: &[&Record]) -> String {
     let mut cell = Cell::new(load, two_queues(), Resources::MAX, &["w0"]);
     let mut cell_state = CellState::default();
     for (offset, record) in (0..).zip(records) {
@@ -233,17 +246,17 @@
     let learned = Record::load(&tenfold());
     assert_eq!(first_start(ON, &[]), "urgent");
     // By the learned run time the urgent job is late in any case.
-    assert_eq!(first_start(ON, &[learned.clone()]), "other");
-    assert_eq!(first_start(LoadOptions::default(), &[learned.clone()]), "urgent");
+    assert_eq!(first_start(ON, &[&learned]), "other");
+    assert_eq!(first_start(LoadOptions::default(), &[&learned]), "urgent");
     let undecodable =
         Record { key: LOAD_KEY.to_owned(), value: Some(b"{\"run_times\":3}".to_vec()) };
-    assert_eq!(first_start(ON, &[undecodable.clone()]), "urgent");
-    assert_eq!(first_start(ON, &[learned, undecodable]), "other", "the earlier record stays");
+    assert_eq!(first_start(ON, &[&undecodable]), "urgent");
+    assert_eq!(first_start(ON, &[&learned, &undecodable]), "other", "the earlier record stays");
     // A later version may add to the record.
     let mut value = serde_json::to_value(tenfold()).expect("a record");
     value["more"] = 1.into();
     let later = Record { key: LOAD_KEY.to_owned(), value: Some(value.to_string().into_bytes()) };
-    assert_eq!(first_start(ON, &[later]), "other");
+    assert_eq!(first_start(ON, &[&later]), "other");
 }
 
 /// Guards against a record with every append, against one without an append that is due anyway, and
@@ -251,7 +264,8 @@
 #[test]
 fn what_is_learned_is_recorded_seldom() {
     for (load, is_recorded) in [(ON, true), (LoadOptions::default(), false)] {
-        let mut cell = Cell::new(load, only_queue(), Resources::MAX, &["w0", "w1"]);
+        let queues = vec![queue(Some(adviser(10)))];
+        let mut cell = Cell::new(load, queues, Resources::MAX, &["w0", "w1"]);
         for job in 0..30 {
             cell.submit(&format!("job{job}"), "queue", single_step(1, false));
         }
@@ -259,6 +273,9 @@
         assert_eq!(cell.started.len(), 30);
         assert_eq!(!cell.records.is_empty(), is_recorded);
         assert_eq!(cell.fixture.cell_state.load.is_some(), is_recorded);
+        // Both workers were named and allowed for each job. Renewed tickets do not count.
+        let eligible = is_recorded.then_some([60.0, 60.0]);
+        assert_eq!(cell.learned().eligible.get("queue").copied(), eligible);
         for pair in cell.records.windows(2) {
             assert!(pair[1].0 >= pair[0].0 + time::Duration::from_secs(2));
         }
@@ -291,23 +308,30 @@
     assert!(!kept.contains_key("queue-with-a-long-name-0"));
 }
 
-/// Guards against forecasts that ignore runs and waiting steps, the account's limit, or the time that
-/// the adviser takes.
+/// Guards against forecasts that ignore runs and waiting steps, the account's limit, the label of the
+/// step, or the time that the adviser takes.
 #[test]
 fn first_starts_are_forecast() {
-    let slow = AdviserTiming {
-        base: time::Duration::from_millis(300),
-        per_worker: time::Duration::from_millis(10),
-        validity: time::Duration::from_millis(1_500),
-    };
     let workers = ["w0", "w1", "w2"];
-    // With a limit of one worker, or with a single worker, jobs run one after the other.
-    for (cap, workers) in [(cores(4), &workers[..]), (Resources::MAX, &workers[..1])] {
+    let label: Label = "special".into();
+    let mut labelled = record("w0");
+    labelled.entry.as_mut().expect("an entry").labels.push(label.clone());
+    // With a limit of one worker, with a single worker, or with a single worker that has the label,
+    // jobs run one after the other.
+    let all = Resources::MAX;
+    let cases =
+        [(cores(4), &workers[..], None), (all, &workers[..1], None), (all, &workers, Some(label))];
+    for (cap, workers, required_label) in cases {
         let mut cell = Cell::new(ON, only_queue(), cap, workers);
-        let step = |estimate_ms| vec![Step { estimate_ms, ..single_step(1, false).remove(0) }];
+        let records = vec![(0, labelled.clone())];
+        let update = FollowerUpdate { is_reset: false, records, is_caught_up: true };
+        cell.fixture.with_decider(|decider, _| decider.on_worker_records(update));
+        cell.run(400);
+        let step = Step { estimate_ms: 400, required_label, ..single_step(1, false).remove(0) };
         for job in 0..3 {
-            cell.submit(&format!("job{job}"), "queue", step(400));
-            cell.run(100);
+            cell.submit(&format!("job{job}"), "queue", vec![step.clone()]);
+            // The last job arrives before the decider has placed the one before it.
+            cell.run(if job == 1 { 0 } else { 100 });
         }
         cell.run(2_000);
         let errors = cell.forecast_errors();
@@ -317,7 +341,7 @@
         }
     }
     // The advice arrives at once here, so that the error is the time that it was expected to take.
-    let mut cell = Cell::new(ON, vec![queue(Some(slow))], Resources::MAX, &workers);
+    let mut cell = Cell::new(ON, vec![queue(Some(adviser(300)))], Resources::MAX, &workers);
     cell.submit("job", "queue", single_step(1, false));
     cell.run(500);
     let errors = cell.forecast_errors();
@@ -330,16 +354,23 @@
     assert!(cell.forecast_errors().is_empty());
 }
 
-/// Guards against workers that are taken as possible although the adviser allows only a part.
+/// Guards against a decider that stops because of estimates and sizes that callers choose freely.
 #[test]
-fn the_share_of_eligible_workers_is_learned() {
-    let timing = AdviserTiming {
-        base: time::Duration::from_millis(10),
-        per_worker: time::Duration::ZERO,
-        validity: time::Duration::from_millis(1_500),
-    };
-    let mut cell = Cell::new(ON, vec![queue(Some(timing))], Resources::MAX, &["w0", "w1"]);
-    cell.submit("job", "queue", single_step(1, false));
-    cell.run(3_000);
-    assert_eq!(cell.learned().eligible["queue"], [2.0, 2.0], "both workers were named and allowed");
+fn extreme_estimates_are_forecast() {
+    let mut cell = Cell::new(ON, only_queue(), cores(8), &["w0", "w1", "w2"]);
+    cell.percent = Some(1);
+    let mut learned = LoadRecord::default();
+    learned.run_times.insert("queue".into(), [200.0, 0.0, 4.6, 1.0, 0.05, 1.0]);
+    cell.fixture.cell_state.load = Some(learned);
+    cell.succeed();
+    cell.fixture.list_workers(&["w0", "w1", "w2"]);
+    let step = |estimate_ms, tasks| Step { estimate_ms, ..single_step(tasks, false).remove(0) };
+    let steps = [step(u64::MAX, 4_000), step(u64::MAX, 1), step(0, 1), step(0, 0)];
+    for (job, step) in steps.into_iter().enumerate() {
+        let no_need = Step { need: Resources::ZERO, after: vec![0], ..step.clone() };
+        cell.submit(&format!("job{job}"), "queue", vec![step, no_need]);
+        cell.run(500);
+    }
+    cell.run(1_000);
+    assert!(!cell.started.is_empty());
 }
