Let gangs beyond their account's share reserve no workers

Cause: a gang beyond its account's share reserved workers, which then were closed to steps of less urgent queues that are within their shares.

Change: with options.load.shares such a gang reserves nothing. Without it reservations are as before.

Result: the tests of crates/cell/tests/shares.rs pass.

--- a/crates/cell/src/decider/schedule.rs
+++ b/crates/cell/src/decider/schedule.rs
@@ -153,7 +153,10 @@
                 self.note_waiting(context, &mut room, candidate, queue, has_ticket);
             }
             let mut has_reservation = false;
-            if candidate.step().gang && reserving_gangs < MAX_RESERVING_GANGS {
+            if candidate.step().gang
+                && reserving_gangs < MAX_RESERVING_GANGS
+                && self.shares.may_reserve(context, candidate)
+            {
                 has_reservation = self.reserve_workers(context, candidate, queue, &limit);
                 if has_reservation {
                     reserving_gangs += 1;
--- a/crates/cell/src/decider/shares.rs
+++ b/crates/cell/src/decider/shares.rs
@@ -318,6 +318,13 @@
         waiting * division.shares.count_within(position, &need, 1)
     }
 
+    /// Whether a gang may reserve capacity. Beyond its account's share it would keep that from work
+    /// within shares.
+    pub(super) fn may_reserve(&self, context: &Context<'_>, candidate: &Candidate) -> bool {
+        !context.options.load.shares
+            || candidate.rank.deadline_status != DeadlineStatus::BeyondShare
+    }
+
     fn position(&self, spec: &JobSpec) -> Option<(&Division, usize)> {
         let division = self.divisions.get(self.service_of_queue.get(&spec.queue)?)?;
         Some((division, *division.positions.get(&spec.account)?))
