--- a/crates/cell/src/decider/reclaim.rs
+++ b/crates/cell/src/decider/reclaim.rs
@@ -566,7 +566,10 @@
 
     /// Stops the runs on workers that leave before the runs can end, in time for a new checkpoint.
     pub(super) fn stop_runs_on_leaving_workers(&mut self, context: &Context<'_>) {
-        if !context.options.load.reclaim || self.reclaim.drains.is_empty() {
+        if !context.options.load.reclaim {
+            self.reclaim.drains.clear();
+        }
+        if self.reclaim.drains.is_empty() {
             return;
         }
         let lead = STOP_TIME.saturating_add(context.options.worker_call_timeout);
