Renew gangs' tickets before they are ready, and bound the searches of a pass

Cause: runs counted as ending a fifth of their expected time ahead, so tickets came 0.6 s after a gang had its room, and a pass searched 350 workers for 48 steps. Change: runs end as expected unless they are overdue, tickets are renewed 0.2 s early, 16 searches a pass, and few gangs learn ahead of their turn.

--- a/crates/cell/src/decider/advice_calls.rs
+++ b/crates/cell/src/decider/advice_calls.rs
@@ -8,7 +8,7 @@
 use pier_core::resources::Resources;
 use pier_load::advice::{self, CallCost, EligibleShare, Hosts, MAX_WORKERS_PER_CALL};
 
-use crate::advice::MIN_TICKET_VALIDITY;
+use crate::advice::{MIN_TICKET_VALIDITY, StepAdvice};
 use crate::decider::availability::is_suitable;
 use crate::decider::gangs::{GangPass, start_limit};
 use crate::decider::schedule::Candidate;
@@ -20,17 +20,24 @@
 use crate::worker::Worker;
 
 /// The gangs of a queue that learn where they may run before it is their turn to reserve, so that
-/// the next ones can begin at once.
+/// the next ones can begin at once. At least one call of 1 s goes before each start.
 const MAX_LEARNERS_PER_QUEUE: usize = 24;
+/// The gangs of a queue that know where they may run and wait for their turn to reserve. More would
+/// only use up the adviser's time, because their tickets expire.
+const MAX_WAITING_LEARNED: usize = 6;
 /// A gang learns of more workers if those that may run it would hold less than this many percent of
 /// it when they are empty.
 const MIN_KNOWN_PERCENT: usize = 150;
 /// The most steps that look for workers to name in a pass. It bounds the time of a pass.
-const MAX_SEARCHES: usize = 48;
+const MAX_SEARCHES: usize = 16;
 /// How long tickets have to be valid after the time at which a gang is expected to have room,
 /// because that is uncertain.
 const TICKET_MARGIN: time::Duration = time::Duration::from_millis(300);
 
+/// How much earlier than needed tickets are renewed, because runs may end early and reserved capacity
+/// is idle until the tickets arrive.
+const EARLY_RENEWAL: time::Duration = time::Duration::from_millis(200);
+
 /// What is known of the adviser's load.
 #[derive(Debug, Default)]
 pub(super) struct AdviserLoad {
@@ -173,9 +180,15 @@
         if !is_expired && start_limit(context, candidate, queue) < earliest {
             return false;
         }
+        let knows_workers = self
+            .advice
+            .get(&candidate.key())
+            .is_some_and(|advice| advice.eligible().next().is_some());
         let learners = pass.learners.entry(ids::QueueId::clone(&queue.name)).or_default();
-        *learners += 1;
-        *learners <= MAX_LEARNERS_PER_QUEUE
+        let (waiting, learned) = learners;
+        *waiting += 1;
+        *learned += usize::from(knows_workers);
+        *waiting <= MAX_LEARNERS_PER_QUEUE && *learned <= MAX_WAITING_LEARNED
     }
 
     /// Makes all calls that the gang needs at the same moment.
@@ -261,7 +274,7 @@
         }
         slots.extend(spares);
         let call = call_cost(terms).of(slots.len().min(MAX_WORKERS_PER_CALL));
-        if ready_at > context.now.saturating_add(call) {
+        if ready_at > context.now.saturating_add(call).saturating_add(EARLY_RENEWAL) {
             return Vec::new();
         }
         let needed_until = context.now.saturating_add(call).max(ready_at) + TICKET_MARGIN;
@@ -278,7 +291,6 @@
         queue: &Queue,
         terms: AdviserTiming,
     ) -> Vec<ids::WorkerId> {
-        self.sort_workers_by_free(context.now);
         let step = candidate.step();
         let key = candidate.key();
         let tasks = candidate.waiting.len();
@@ -286,31 +298,37 @@
             let spread = step.spread_limit.unwrap_or(usize::MAX);
             place::fit_count(&step.need, &worker.info.capacity).min(spread)
         };
+        let is_usable = |worker: &Worker| {
+            worker.accepts_work(context.now)
+                && is_suitable(context, step, queue, worker)
+                && fits(worker) > 0
+        };
         let advice = self.advice.get(&key);
         let mut known: usize = 0;
+        for id in advice.into_iter().flat_map(StepAdvice::eligible) {
+            if let Some(worker) = self.workers.get(id).filter(|worker| is_usable(worker)) {
+                known = known.saturating_add(fits(worker).min(tasks));
+            }
+        }
+        if known.saturating_mul(100) >= tasks.saturating_mul(MIN_KNOWN_PERCENT)
+            || self.adviser_load.searches >= MAX_SEARCHES
+        {
+            return Vec::new();
+        }
+        self.adviser_load.searches += 1;
+        self.sort_workers_by_free(context.now);
+        let advice = self.advice.get(&key);
         let mut unknown = Vec::new();
         let mut failed = Vec::new();
         for id in &self.workers_by_free {
-            let Some(worker) = self.workers.get(id) else {
+            let Some(worker) = self.workers.get(id).filter(|worker| is_usable(worker)) else {
                 continue;
             };
-            if !worker.accepts_work(context.now)
-                || !is_suitable(context, step, queue, worker)
-                || fits(worker) == 0
-            {
-                continue;
-            }
-            if advice.is_some_and(|advice| advice.is_eligible(id)) {
-                known = known.saturating_add(fits(worker).min(tasks));
-            } else if advice.is_none_or(|advice| advice.is_unknown(id)) {
-                let has_failed = pass.workers.get(id).is_some_and(|worker| worker.has_failed);
-                let list = if has_failed { &mut failed } else { &mut unknown };
+            if advice.is_none_or(|advice| advice.is_unknown(id)) {
+                let list = if pass.has_failed(id) { &mut failed } else { &mut unknown };
                 list.push((ids::WorkerId::clone(id), fits(worker)));
             }
         }
-        if known.saturating_mul(100) >= tasks.saturating_mul(MIN_KNOWN_PERCENT) {
-            return Vec::new();
-        }
         unknown.append(&mut failed);
         let share = self.adviser_load.share(queue);
         let by_worker = unknown.iter().map(|(_, fits)| *fits);
@@ -344,16 +362,20 @@
         let mut unknown = Vec::new();
         let mut later = Vec::new();
         for id in &self.workers_by_free {
-            if renewed.len() >= MAX_WORKERS_PER_CALL {
+            if renewed.len() + unknown.len() >= MAX_WORKERS_PER_CALL {
                 break;
             }
+            let Some(worker) = self.workers.get(id) else {
+                continue;
+            };
+            let has_room = step.need.fits_in(&worker.free());
+            if !has_room && later.len() >= MAX_WORKERS_PER_CALL {
+                continue;
+            }
             let is_unknown = advice.is_unknown(id);
             let is_expired = advice.is_eligible(id)
                 && !advice.is_requested(id)
                 && advice.ticket(context.now, id).is_none();
-            let Some(worker) = self.workers.get(id) else {
-                continue;
-            };
             if !(is_unknown || is_expired)
                 || !worker.accepts_work(context.now)
                 || !is_suitable(context, step, queue, worker)
--- a/crates/cell/src/decider/gangs.rs
+++ b/crates/cell/src/decider/gangs.rs
@@ -211,8 +211,9 @@
     pub(super) workers: Map<ids::WorkerId, PassWorker>,
     capacity: Map<ServiceId, Resources>,
     new_plans: usize,
-    /// The gangs without a reservation that may learn where they may run, by queue.
-    pub(super) learners: Map<ids::QueueId, usize>,
+    /// The gangs without a reservation that may learn where they may run, and how many of them know
+    /// it already, by queue.
+    pub(super) learners: Map<ids::QueueId, (usize, usize)>,
     waiting_gangs: usize,
     /// The tasks that the steps ahead wait to place, by service.
     pub(super) demand_ahead: Map<ServiceId, Resources>,
--- a/crates/load/src/gangs.rs
+++ b/crates/load/src/gangs.rs
@@ -13,8 +13,8 @@
 const RELIABILITY_WAIT_PER_MEMBER: time::Duration = time::Duration::from_millis(50);
 /// The spare slots of a plan are the gang's members divided by this.
 const SPARE_DIVISOR: usize = 5;
-/// A run that should have ended counts as ending within its expected time divided by this.
-const OVERDUE_DIVISOR: u32 = 5;
+/// A run that should have ended counts as ending after at least its expected time divided by this.
+const OVERDUE_DIVISOR: u32 = 20;
 
 /// What a worker offers to a gang over time.
 #[derive(Debug, Clone, Copy)]
@@ -50,15 +50,19 @@
     pub uses_failed: bool,
 }
 
-/// When a run is expected to end. Expected run times are uncertain, so a run that is overdue counts
-/// as ending soon, not at once.
+/// When a run is expected to end. Expected run times are uncertain: a run that is overdue counts as
+/// ending soon, and later the longer it is overdue.
 pub fn expected_end(
     now: time::Duration,
     started_at: time::Duration,
     expected: time::Duration,
 ) -> time::Duration {
-    let soonest = now.saturating_add(expected / OVERDUE_DIVISOR);
-    started_at.saturating_add(expected).max(soonest)
+    let ends_at = started_at.saturating_add(expected);
+    if ends_at > now {
+        return ends_at;
+    }
+    let overdue = now.saturating_sub(ends_at);
+    now.saturating_add((overdue / 2).max(expected / OVERDUE_DIVISOR))
 }
 
 /// The earliest time at which `tasks` members of a gang have room, and on which workers. Slots that
