Simulate cells that are too full, with rejected callers and leaving workers

Cause: random_declarations knew one load, callers that never submit again and workers that leave without a notice, so that the parts of docs/design/hard-load.md would be tested by nothing random. Change: guarantees_hold_in_a_cell_that_is_too_full, with all parts switched on, accounts of different weights of which one has eight times its usual load in bursts, rejected jobs that are submitted again when their callers were told to or are given up, workers that announce that they leave, and killed deciders. New checks, in all simulations: no task starts while all submissions of its job are rejected, nor on a worker 2 s after it has announced that it leaves; a gang that fits, and waits with no other gang, starts within 3 s. Waits are not checked for 4 s after a host was killed, and runs of a worker that has left count against their account until their leases have ended. check_invariants reads the log once, not once per job.

--- a/crates/cell/tests/sim/callers.rs
+++ b/crates/cell/tests/sim/callers.rs
@@ -7,6 +7,7 @@
 use pier_cell::job::{JobSpec, Step};
 use rand::Rng;
 
+use crate::sim::load::Caller;
 use crate::sim::{RequestKey, Sim, step};
 
 /// Jobs submitted per second.
@@ -48,6 +49,8 @@
             self.caller_key.as_ref().and_then(|key| self.declaration.account_for_key(key));
         let account = account.map(|account| account.name.to_string());
         self.account_of.insert(id.to_owned(), account);
+        let caller = Caller { key: self.caller_key.clone(), first_submitted_ms: self.now_ms };
+        self.callers.entry(id.to_owned()).or_insert(caller);
         *self.observed.submissions.entry(id.to_owned()).or_default() += 1;
         let key = self.request(host, queue, id, Operation::Submit(Ok(Box::new(spec))));
         self.pending_submissions.insert(key, id.to_owned());
@@ -111,6 +114,12 @@
         self.observed.responses.insert(id.clone(), response.clone());
         if !matches!(response, CallerResponse::Accepted | CallerResponse::OutcomeUnknown) {
             *self.observed.rejections.entry(id.clone()).or_default() += 1;
+            self.check_rejected_before_start(&id);
+        }
+        if let CallerResponse::Rejected { retry_after, .. } = response
+            && self.are_rejected_jobs_retried
+        {
+            self.retry_later(&id, *retry_after);
         }
         let outcomes = match response {
             CallerResponse::Accepted => &mut self.observed.accepted,
--- a/crates/cell/tests/sim/hosts.rs
+++ b/crates/cell/tests/sim/hosts.rs
@@ -49,6 +49,7 @@
     }
 
     pub fn kill_host(&mut self, index: usize) {
+        self.suspend_waits();
         self.hosts[index].process = None;
         self.hosts[index].connected_to = None;
         for other in 0..self.hosts.len() {
--- a/crates/cell/tests/sim/invariants.rs
+++ b/crates/cell/tests/sim/invariants.rs
@@ -5,10 +5,14 @@
 use pier_cell::effect::CallerResponse;
 use pier_cell::job::{JobState, RunNumber, TaskRef};
 
+use crate::sim::load::Leaving;
 use crate::sim::{MAX_KEY_BYTES, Sim, step};
 
 /// How long after an acknowledged cancelling tasks of the job may still be started.
 const MAX_CANCEL_MS: u64 = 3_000;
+/// How long after a worker has announced that it leaves work may still be started there: the worker
+/// list is read, and starts that were decided before are carried out.
+const MAX_LEAVING_START_MS: u64 = 2_000;
 
 /// The violations of the cell's guarantees, the responses to callers, and counts of calls.
 #[derive(Debug, Default)]
@@ -20,6 +24,10 @@
     pub submissions: BTreeMap<String, u32>,
     /// How many of these submissions were rejected.
     pub rejections: BTreeMap<String, u32>,
+    /// How many submissions were repetitions of rejected ones.
+    pub submitted_again: u64,
+    /// How many workers have left as they had announced.
+    pub workers_left: u64,
     pub unknown_outcomes: BTreeSet<String>,
     pub responses: BTreeMap<String, CallerResponse>,
     pub starts: u64,
@@ -66,6 +74,24 @@
         }
     }
 
+    /// Whether all submissions of the job were rejected. A submission without a response may have
+    /// been accepted.
+    fn is_rejected(&self, job: &str) -> bool {
+        let rejections = self.observed.rejections.get(job).copied().unwrap_or_default();
+        rejections > 0 && self.observed.submissions.get(job) == Some(&rejections)
+    }
+
+    /// Checks a job that has just been rejected.
+    pub(super) fn check_rejected_before_start(&mut self, id: &str) {
+        let first = TaskRef { job: id.into(), step: 0, index: 0 };
+        let mut starts = self.observed.last_start_ms.range(first..);
+        let has_started = starts.next().is_some_and(|(task, _)| *task.job == *id);
+        if has_started && self.is_rejected(id) {
+            let broken = format!("{} ms: {id} was rejected after its start", self.now_ms);
+            self.observed.violations.push(broken);
+        }
+    }
+
     pub(super) fn record_start(&mut self, id: &str, task: &TaskRef, is_over_capacity: bool) {
         self.observed.starts += 1;
         self.observed.start_times_ms.push(self.now_ms);
@@ -73,6 +99,15 @@
         if is_over_capacity {
             self.observed.violations.push(format!("{} ms: {id} is over its capacity", self.now_ms));
         }
+        if self.is_rejected(&task.job) {
+            let broken = format!("{} ms: {task:?} started after its rejection", self.now_ms);
+            self.observed.violations.push(broken);
+        }
+        let is_late = |leaving: Leaving| self.now_ms > leaving.announced_ms + MAX_LEAVING_START_MS;
+        if self.workers[id].leaving.is_some_and(is_late) {
+            let broken = format!("{} ms: {task:?} started on {id}, which leaves", self.now_ms);
+            self.observed.violations.push(broken);
+        }
         if self.observed.done.contains(task) {
             self.observed
                 .violations
@@ -92,9 +127,10 @@
 /// Checks the guarantees at the end of a simulation.
 pub fn check_invariants(sim: &Sim) {
     assert_eq!(sim.observed.violations, Vec::<String>::new());
+    let stored = sim.stored_cell_state();
     let mut unfinished = BTreeSet::new();
     for id in &sim.observed.accepted {
-        match sim.stored_state(id) {
+        match stored.job_state(id) {
             Some(JobState::Completed | JobState::Failed) => {}
             Some(JobState::Cancelled) if sim.observed.cancelled.contains(id) => {}
             state => {
@@ -109,7 +145,7 @@
         if sim.observed.rejections[id] < sim.observed.submissions[id] {
             continue;
         }
-        assert_eq!(sim.stored_state(id), None, "{id} was rejected, but the log has it");
+        assert_eq!(stored.job_state(id), None, "{id} was rejected, but the log has it");
     }
 }
 
--- a/crates/cell/tests/sim/mod.rs
+++ b/crates/cell/tests/sim/mod.rs
@@ -7,6 +7,7 @@
 pub mod gangs;
 pub mod hosts;
 pub mod invariants;
+pub mod load;
 pub mod reads;
 pub mod seeds;
 pub mod store;
@@ -36,6 +37,7 @@
 use gangs::GangRounds;
 use hosts::SimHost;
 use invariants::Observations;
+use load::Caller;
 use reads::WaitingRead;
 use waits::Waits;
 use worker::SimWorker;
@@ -71,6 +73,10 @@
     Entry { id: String, entry: Option<Box<WorkerInfo>> },
     /// A delayed start, which has an effect if the worker is still in the same incarnation.
     DelayedStart { incarnation: u64, target: Target, request: Box<StartRequest> },
+    /// The next submission of a job that was rejected.
+    SubmitAgain { id: String },
+    /// The end of the time that a worker has announced, if it is still in the same incarnation.
+    Leave { id: String, incarnation: u64 },
 }
 
 /// A cell in simulated time.
@@ -112,11 +118,14 @@
     pub declaration: Declaration,
     /// The API key of the callers' requests.
     pub caller_key: Option<String>,
+    /// Whether callers submit rejected jobs again when they were told to.
+    pub are_rejected_jobs_retried: bool,
     /// Checks of how long tasks and gangs wait.
     pub waits: Waits,
     specs: BTreeMap<String, sync::Arc<JobSpec>>,
     /// The accounts whose keys the submissions of the jobs carried.
     account_of: BTreeMap<String, Option<String>>,
+    callers: BTreeMap<String, Caller>,
     worker_links: WorkerLinks,
     held_polls: Vec<HeldPoll>,
     gangs: GangRounds,
@@ -187,9 +196,11 @@
             step_durations: Vec::new(),
             declaration: declaration.clone(),
             caller_key: Some("key".to_owned()),
+            are_rejected_jobs_retried: false,
             waits: Waits::default(),
             specs: BTreeMap::new(),
             account_of: BTreeMap::new(),
+            callers: BTreeMap::new(),
             worker_links: WorkerLinks::default(),
             held_polls: Vec::new(),
             gangs: GangRounds::default(),
@@ -284,6 +295,8 @@
                     }
                 }
                 Scheduled::Report { id, incarnation } => self.report(&id, incarnation),
+                Scheduled::SubmitAgain { id } => self.submit_again(&id),
+                Scheduled::Leave { id, incarnation } => self.leave(&id, incarnation),
                 Scheduled::Entry { id, entry } => {
                     self.worker_list.push(&id, entry.map(|entry| *entry));
                 }
--- a/crates/cell/tests/sim/seeds.rs
+++ b/crates/cell/tests/sim/seeds.rs
@@ -1,7 +1,15 @@
 //! Simulations with many seeds.
 
+/// The number of seeds without `PIER_CELL_SEEDS`.
+const DEFAULT_SEEDS: u64 = 24;
+
 /// Runs a simulation with the seeds of `PIER_CELL_SEEDS`, or with a few.
 pub fn run_seeds(run: impl Fn(u64) + std::panic::RefUnwindSafe) {
+    run_seeds_or(DEFAULT_SEEDS, run);
+}
+
+/// Runs a simulation with the seeds of `PIER_CELL_SEEDS`, or with this many.
+pub fn run_seeds_or(count: u64, run: impl Fn(u64) + std::panic::RefUnwindSafe) {
     if std::env::var("PIER_CELL_TRACE").is_ok() {
         let lines = tracing_subscriber::fmt().without_time().with_ansi(false).with_target(false);
         // Another test may already have installed a subscriber.
@@ -12,7 +20,7 @@
             let (first, end) = range.split_once("..").expect("FIRST..END");
             first.parse().expect("a seed")..end.parse().expect("a seed")
         }
-        Err(_) => 0..24,
+        Err(_) => 0..count,
     };
     let mut failed = Vec::new();
     for seed in seeds {
--- a/crates/cell/tests/sim/waits.rs
+++ b/crates/cell/tests/sim/waits.rs
@@ -17,6 +17,12 @@
 const END_DELAY_MS: u64 = 400;
 /// A worker counts as usable this long after its start: it reports itself, and the list is read.
 const WORKER_START_MS: u64 = 2_500;
+/// After a host was killed, waits are not checked for this long: another host takes over, and members
+/// of gangs that the killed host was starting end alone.
+const FAILOVER_MS: u64 = 4_000;
+/// The runs of a worker that is gone count against their accounts for at most this long: until their
+/// leases have ended, also those of an earlier decider (docs/cell.md, section 4).
+const LOST_RUN_MS: u64 = 12_500;
 /// The decider has read a declaration this long after it was written.
 const DECLARATION_DELAY_MS: u64 = 2_000;
 
@@ -29,14 +35,18 @@
     fitting_since_ms: BTreeMap<String, u64>,
     /// The declaration before the current one, and when it was replaced.
     replaced: Option<(Declaration, u64)>,
+    /// Until when waits are not checked because a host was killed.
+    suspended_until_ms: u64,
     /// The resources of runs that have ended lately, by worker and account.
     ended: Vec<EndedRun>,
 }
 
 #[derive(Debug)]
 struct EndedRun {
-    ended_at_ms: u64,
-    worker: String,
+    /// Until when the decider may not know of the end.
+    counts_until_ms: u64,
+    /// None if the worker is gone.
+    worker: Option<String>,
     account: Option<String>,
     need: Resources,
 }
@@ -74,8 +84,22 @@
 
     pub(super) fn record_run_end(&mut self, worker: &str, job: &str, need: Resources) {
         let account = self.account_of.get(job).cloned().flatten();
-        let ended_at_ms = self.now_ms;
-        self.waits.ended.push(EndedRun { ended_at_ms, worker: worker.to_owned(), account, need });
+        let counts_until_ms = self.now_ms + END_DELAY_MS;
+        let worker = Some(worker.to_owned());
+        self.waits.ended.push(EndedRun { counts_until_ms, worker, account, need });
+    }
+
+    /// Handles the loss of a run with its worker, which is gone.
+    pub(super) fn record_lost_run(&mut self, job: &str, need: Resources) {
+        let account = self.account_of.get(job).cloned().flatten();
+        let counts_until_ms = self.now_ms + LOST_RUN_MS;
+        self.waits.ended.push(EndedRun { counts_until_ms, worker: None, account, need });
+    }
+
+    /// Suspends the checks of waits after a host was killed.
+    pub(super) fn suspend_waits(&mut self) {
+        self.waits.suspended_until_ms = self.now_ms + FAILOVER_MS;
+        self.waits.fitting_since_ms.clear();
     }
 
     /// Checks the waits. To be called every millisecond.
@@ -83,14 +107,12 @@
         if !self.now_ms.is_multiple_of(CHECK_INTERVAL_MS) {
             return;
         }
-        let known_from_ms = self.now_ms.saturating_sub(END_DELAY_MS);
-        self.waits.ended.retain(|run| run.ended_at_ms >= known_from_ms);
-        if !self.waits.is_enabled {
+        let now_ms = self.now_ms;
+        self.waits.ended.retain(|run| run.counts_until_ms >= now_ms);
+        if !self.waits.is_enabled || now_ms < self.waits.suspended_until_ms {
             return;
         }
-        // A gang that can run may keep room and parts of the limit for itself.
-        let fitting =
-            if self.is_any_gang_waiting() { Vec::new() } else { self.fitting_unstarted_jobs() };
+        let fitting = self.fitting_unstarted_jobs();
         let earlier = std::mem::take(&mut self.waits.fitting_since_ms);
         for id in fitting {
             let since_ms = earlier.get(&id).copied().unwrap_or(self.now_ms);
@@ -102,21 +124,27 @@
         }
     }
 
-    /// Whether a gang waits, also to be started again, that could run if nothing else did.
-    fn is_any_gang_waiting(&self) -> bool {
+    /// The gangs that wait, also to be started again, and that could run if nothing else did.
+    fn waiting_gangs(&self) -> Vec<&String> {
         let mut active = BTreeSet::new();
         for worker in self.workers.values().filter(|worker| worker.is_up) {
             active.extend(worker.running.keys().map(|task| &*task.job));
         }
         active.extend(self.observed.done.iter().map(|task| &*task.job));
-        self.observed.accepted.iter().any(|id| {
-            let step = &self.specs[id].steps[0];
+        let is_waiting = |id: &&String| {
+            let step = &self.specs[*id].steps[0];
             step.gang && !active.contains(id.as_str()) && self.could_gang_run(id, step)
-        })
+        };
+        self.observed.accepted.iter().filter(is_waiting).collect()
     }
 
-    /// The jobs of which no task has ever started, and of which one fits now.
+    /// The jobs that have never started and that fit now: single tasks if no gang waits that could
+    /// run, because it may keep room and parts of the limit for itself, or the only such gang.
     fn fitting_unstarted_jobs(&self) -> Vec<String> {
+        let waiting_gangs = self.waiting_gangs();
+        if waiting_gangs.len() > 1 {
+            return Vec::new();
+        }
         let started: BTreeSet<&str> =
             self.observed.last_start_ms.keys().map(|task| &*task.job).collect();
         let mut fitting = Vec::new();
@@ -124,7 +152,8 @@
             let step = &self.specs[id].steps[0];
             let is_waiting =
                 !started.contains(id.as_str()) && !self.observed.cancelled.contains(id);
-            if is_waiting && !step.gang && self.fits_now(id, step) {
+            let is_first = waiting_gangs.first().is_none_or(|gang| *gang == id);
+            if is_waiting && is_first && self.fits_now(id, step) {
                 fitting.push(id.clone());
             }
         }
@@ -133,7 +162,7 @@
 
     /// Checks that gangs start whole, or that their members are told in time that they do not.
     pub(super) fn record_member_alone(&mut self, task: &TaskRef) {
-        if self.waits.is_enabled {
+        if self.waits.is_enabled && self.now_ms >= self.waits.suspended_until_ms {
             let broken = format!("{} ms: {task:?} has waited for its gang in vain", self.now_ms);
             self.observed.violations.push(broken);
         }
@@ -155,11 +184,12 @@
         places >= step.tasks && within_limit
     }
 
-    /// Whether a task of the step fits in its account's limit and on a worker.
+    /// Whether a task of the step, or all of a gang, fits in its account's limit and on workers.
     fn fits_now(&self, job: &str, step: &Step) -> bool {
         if self.declaration.queue(&self.specs[job].queue).is_none() {
             return false;
         }
+        let needed = if step.gang { step.tasks } else { 1 };
         if let Some(account) = self.limit_of(job) {
             let mut left = account.cap;
             for worker in self.workers.values() {
@@ -174,20 +204,26 @@
                     left = left.minus(&run.need);
                 }
             }
-            if !step.need.fits_in(&left) {
+            if fit_count(left, step) < needed {
                 return false;
             }
         }
-        self.workers.values().any(|worker| {
+        let mut places = 0;
+        for worker in self.workers.values().filter(|worker| is_of_kind(worker, step)) {
             let mut free = worker.capacity.minus(&worker.used());
             for run in &self.waits.ended {
-                if run.worker == worker.id {
+                if run.worker.as_ref() == Some(&worker.id) {
                     free = free.minus(&run.need);
                 }
             }
-            let is_usable = worker.is_up && self.now_ms > worker.incarnation + WORKER_START_MS;
-            is_usable && is_of_kind(worker, step) && step.need.fits_in(&free)
-        })
+            let is_usable = worker.is_up
+                && worker.leaving.is_none()
+                && self.now_ms > worker.incarnation + WORKER_START_MS;
+            if is_usable {
+                places += fit_count(free, step);
+            }
+        }
+        places >= needed
     }
 }
 
--- a/crates/cell/tests/sim/worker.rs
+++ b/crates/cell/tests/sim/worker.rs
@@ -7,6 +7,8 @@
 use pier_cell::run::EndKind;
 use pier_core::resources::Resources;
 
+use crate::sim::load::Leaving;
+
 /// The longest lease that a worker grants, in milliseconds.
 const MAX_LEASE_MS: u64 = 10_000;
 
@@ -31,6 +33,8 @@
     /// The worker's kind and its rack.
     pub labels: Vec<Label>,
     pub is_up: bool,
+    /// What the worker has announced, if it is to leave.
+    pub leaving: Option<Leaving>,
     pub fencing_token: u64,
     pub lease_until_ms: u64,
     pub running: BTreeMap<TaskRef, Running>,
@@ -60,6 +64,7 @@
             capacity,
             labels: vec!["kind".into(), "rack".into()],
             is_up: true,
+            leaving: None,
             fencing_token: 0,
             lease_until_ms: 0,
             running: BTreeMap::new(),
--- a/crates/cell/tests/sim/worker_calls.rs
+++ b/crates/cell/tests/sim/worker_calls.rs
@@ -1,5 +1,7 @@
 //! The workers of the simulated cell and the calls to them.
 
+use std::time;
+
 use pier_cell::effect::{StartRequest, WorkerCall, WorkerOperation};
 use pier_cell::event::{Event, PollResponse, RejectReason, StartResponse, WorkerResponse};
 use pier_cell::job::Label;
@@ -110,12 +112,28 @@
     pub(super) fn report(&mut self, id: &str, incarnation: u64) {
         let worker = &self.workers[id];
         if worker.is_up && worker.incarnation == incarnation {
-            self.worker_list.push(id, Some(entry(worker, false)));
+            if worker.leaving.is_some() {
+                self.list_as_leaving(id);
+            } else {
+                self.worker_list.push(id, Some(entry(worker, false)));
+            }
             let again = Scheduled::Report { id: id.to_owned(), incarnation };
             self.push(WORKER_REPORT_INTERVAL_MS, again);
         }
     }
 
+    /// Lists a worker that has announced that it leaves, with the time that is left.
+    pub(super) fn list_as_leaving(&mut self, id: &str) {
+        let worker = &self.workers[id];
+        let Some(leaving) = worker.leaving else {
+            return;
+        };
+        let remaining_ms = leaving.leaves_at_ms.saturating_sub(self.now_ms);
+        let remaining = Some(time::Duration::from_millis(remaining_ms));
+        let entry = WorkerInfo { remaining, ..entry(worker, true) };
+        self.worker_list.push(id, Some(entry));
+    }
+
     pub(super) fn call_worker(&mut self, host: usize, call: WorkerCall) {
         let WorkerCall { target, timeout_ms, operation } = call;
         let (worker, token) = (target.worker.clone(), target.token);
