Reject submissions that cannot end in time

Cause: Every submission was accepted until 2,000 jobs waited, also jobs whose results would be of no use, and callers that were rejected together returned together.

Change: With `load.admission` on, the decider rejects a job that by the forecast ends later than three times its objective, spreads the retries of rejected callers, remembers 4,096 of them, and puts those that return at their promised time before new jobs of the same deadline status and priority. For jobs within shares, the limit of waiting jobs counts only such jobs.

The tests of pier-load and pier-cell pass. The forecast and the shares are still stubs, so the decider has been tested with the limit of waiting jobs only.

--- a/crates/cell/src/cell_state.rs
+++ b/crates/cell/src/cell_state.rs
@@ -12,7 +12,8 @@
 /// A job that has not ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LiveJob {
-    /// Milliseconds since the Unix epoch at which it was accepted.
+    /// Milliseconds since the Unix epoch at which it was accepted or, if admission control had
+    /// rejected it before, at which it was first submitted.
     pub accepted_wall_ms: u64,
     /// What was submitted.
     pub spec: sync::Arc<JobSpec>,
--- a/crates/cell/src/decider/append.rs
+++ b/crates/cell/src/decider/append.rs
@@ -181,6 +181,7 @@
         };
         context.cell_state.live.remove(id);
         self.beyond_share.remove(id);
+        self.admission.forget(id);
         context.cell_state.ended.insert(ids::JobId::clone(id), ended.clone());
         self.ended_order.push_back((context.now, ids::JobId::clone(id)));
         let record = JobRecord::Ended(ended);
--- a/crates/cell/src/decider/forecast.rs
+++ b/crates/cell/src/decider/forecast.rs
@@ -18,7 +18,6 @@
     /// Forecasts a job that is submitted now. A job within its account's share is judged only by
     /// the work within shares that ranks ahead of it. None without a forecast, for example before
     /// the worker list is read.
-    #[expect(dead_code, reason = "the interface for admission")]
     pub(super) fn forecast_job(
         &self,
         _context: &Context<'_>,
--- a/crates/cell/src/decider/mod.rs
+++ b/crates/cell/src/decider/mod.rs
@@ -15,6 +15,7 @@
 
 use crate::advice::StepAdvice;
 use crate::cell_state::CellState;
+use crate::decider::admission::JobAdmission;
 use crate::decider::append::{InFlightAppend, append_effect};
 use crate::decider::schedule::LimitReservation;
 use crate::declaration::Declaration;
@@ -30,6 +31,7 @@
 use crate::speed::WorkerSpeeds;
 use crate::worker::{Worker, WorkerIncarnation};
 
+mod admission;
 mod adviser;
 mod append;
 mod availability;
@@ -164,6 +166,7 @@
     submission_buckets: Map<AccountId, SubmissionBucket>,
     /// Jobs that exceeded the share of their account when they were submitted.
     beyond_share: BTreeSet<ids::JobId>,
+    admission: JobAdmission,
     /// The version of the declaration whose limits of attempts were applied to all jobs.
     attempts_checked_for: ids::Version,
     advice: BTreeMap<(ids::JobId, StepIndex), StepAdvice>,
--- a/crates/cell/src/decider/requests.rs
+++ b/crates/cell/src/decider/requests.rs
@@ -37,15 +37,24 @@
             self.reply_when_stored(context, &id, origin);
             return;
         }
-        if let Some((reason, retry_after)) = self.reason_to_reject(context, &spec) {
-            tracing::info!(job = %id, queue = %spec.queue, reason,
-                waiting = context.cell_state.live.len(),
-                "job rejected");
-            let retry_after_ms = pier_core::clock::millis(retry_after);
-            let outcome = RequestOutcome::Rejected { reason: reason.to_owned(), retry_after_ms };
-            self.reply(context, origin, outcome);
-            return;
-        }
+        let admitted = match self.reason_to_reject(context, &spec) {
+            Some(rejection) => Err(rejection),
+            None => self.admit(context, &spec),
+        };
+        let accepted_wall_ms = match admitted {
+            Ok(accepted_wall_ms) => accepted_wall_ms,
+            Err((reason, retry_after)) => {
+                tracing::info!(job = %id, queue = %spec.queue, reason,
+                    waiting = context.cell_state.live.len(),
+                    "job rejected");
+                self.load_report.rejections.push((reason, ids::QueueId::clone(&spec.queue)));
+                let retry_after_ms = pier_core::clock::millis(retry_after);
+                let outcome =
+                    RequestOutcome::Rejected { reason: reason.to_owned(), retry_after_ms };
+                self.reply(context, origin, outcome);
+                return;
+            }
+        };
         let account = spec.account.as_ref().and_then(|name| context.declaration.account(name));
         let is_beyond_share = account.is_some_and(|account| {
             let submission_buckets =
@@ -63,7 +72,7 @@
             self.withdrawn_order.retain(|(_, withdrawn)| *withdrawn != id);
         }
         let progress = Progress::new(&spec);
-        let job = LiveJob { accepted_wall_ms: context.wall_ms, spec, progress };
+        let job = LiveJob { accepted_wall_ms, spec, progress };
         context.cell_state.live.insert(ids::JobId::clone(&id), job);
         self.newly_accepted.insert(ids::JobId::clone(&id));
         self.request_advice_on_submit(context, &id);
@@ -91,7 +100,10 @@
         if context.now > self.last_stored_at.saturating_add(MAX_LOG_SILENCE) {
             return Some(("the log is not available", context.options.retry_after));
         }
-        if context.cell_state.live.len() >= context.options.max_waiting_jobs {
+        // Admission control applies the limit by itself.
+        if !context.options.load.admission
+            && context.cell_state.live.len() >= context.options.max_waiting_jobs
+        {
             return Some(("too many jobs are waiting", context.options.retry_after));
         }
         if !self.has_worker_list {
--- a/crates/cell/src/decider/schedule.rs
+++ b/crates/cell/src/decider/schedule.rs
@@ -224,7 +224,7 @@
             }
             let critical_paths =
                 critical_paths.get_or_insert_with(|| job.spec.remaining_critical_paths());
-            let rank = ranking::rank(
+            let mut rank = ranking::rank(
                 queue,
                 &job.spec,
                 job.accepted_wall_ms,
@@ -232,6 +232,7 @@
                 critical_paths[step],
                 self.beyond_share.contains(id),
             );
+            rank.promised_ms = self.admission.promised_ms(id);
             let speed_tolerance = ranking::speed_tolerance(
                 rank,
                 context.wall_ms,
--- a/crates/cell/src/decider/shares.rs
+++ b/crates/cell/src/decider/shares.rs
@@ -6,7 +6,6 @@
 impl Decider {
     /// Whether a job that is submitted now lies within its account's share. Always true while the
     /// service is not full.
-    #[expect(dead_code, reason = "the interface for admission")]
     pub(super) fn is_within_share(&self, _context: &Context<'_>, _spec: &JobSpec) -> bool {
         true
     }
--- a/crates/cell/src/decider/takeover.rs
+++ b/crates/cell/src/decider/takeover.rs
@@ -6,6 +6,7 @@
 use pier_core::ids;
 use pier_core::map::Map;
 
+use crate::decider::admission::JobAdmission;
 use crate::decider::{Context, Decider, Predecessor, Term};
 use crate::event::WorkerRecord;
 use crate::follower::FollowerUpdate;
@@ -63,6 +64,7 @@
             below_half_since: Map::default(),
             submission_buckets: Map::default(),
             beyond_share: BTreeSet::new(),
+            admission: JobAdmission::default(),
             attempts_checked_for: 0,
             advice: BTreeMap::new(),
             advice_requests: BTreeMap::new(),
--- a/crates/cell/src/ranking.rs
+++ b/crates/cell/src/ranking.rs
@@ -17,7 +17,7 @@
 /// freely, within the range of [`time::Duration`].
 const MAX_OBJECTIVE: time::Duration = time::Duration::from_secs(100 * 365 * 24 * 60 * 60);
 /// A result that takes longer than this multiple of the objective is worthless to the caller.
-const EXPIRED_AFTER_OBJECTIVES: u32 = 3;
+const EXPIRED_AFTER_OBJECTIVES: u32 = pier_load::admission::USEFUL_OBJECTIVES;
 /// The part of the objective, in percent, that is set aside for the latency of requests and
 /// responses and for run time estimates that are too short.
 const DEADLINE_MARGIN_PERCENT: u32 = 8;
@@ -42,6 +42,9 @@
     Expired,
 }
 
+/// [`Rank::promised_ms`] of a job that was not rejected before.
+pub const NOT_PROMISED: u64 = u64::MAX;
+
 /// The rank of a waiting step. Lower ranks are placed first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
@@ -49,6 +52,9 @@
     pub deadline_status: DeadlineStatus,
     /// The priority of the queue. Zero is the most urgent.
     pub priority: u32,
+    /// When the caller was to submit the job again, in milliseconds since the start of the process,
+    /// if the job was rejected before. [`NOT_PROMISED`] for new jobs, which come after these.
+    pub promised_ms: u64,
     /// The latest start time of the remaining work, in milliseconds since the Unix epoch, for the
     /// job to finish within its objective.
     pub latest_start_ms: u64,
@@ -79,7 +85,7 @@
     } else {
         DeadlineStatus::OnTime
     };
-    Rank { deadline_status, priority: queue.priority, latest_start_ms }
+    Rank { deadline_status, priority: queue.priority, promised_ms: NOT_PROMISED, latest_start_ms }
 }
 
 /// The slowdown that the step tolerates, derived from its rank. `remaining` is the critical path of
