Repeat the reason of a rejection to callers that return early

Cause: An early return had a reason of its own, which a caller that submitted once also got when its host forwarded the submission again.

The tests are rewritten in two thirds of their length with the same checks.

--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -65,7 +65,8 @@
 pub enum JobRecord {
     /// The job was accepted.
     Accepted {
-        /// Milliseconds since the Unix epoch, by the decider's clock.
+        /// Milliseconds since the Unix epoch, by the decider's clock; see
+        /// [`crate::cell_state::LiveJob::accepted_wall_ms`].
         accepted_wall_ms: u64,
         /// The submitted job.
         spec: sync::Arc<JobSpec>,
--- a/crates/load/src/admission.rs
+++ b/crates/load/src/admission.rs
@@ -66,8 +66,6 @@
     NeverInTime,
     /// The limit of waiting jobs is reached.
     TooManyJobs,
-    /// The job was rejected before and has returned before its promised time.
-    ReturnedEarly,
 }
 
 impl RejectionReason {
@@ -77,7 +75,6 @@
             Self::CannotEndInTime => "the job cannot end in time",
             Self::NeverInTime => "the job cannot end in time, also not later",
             Self::TooManyJobs => "too many jobs are waiting",
-            Self::ReturnedEarly => "the job was rejected and has returned too early",
         }
     }
 }
@@ -111,6 +108,7 @@
     first_submitted: Option<time::Duration>,
     /// The time at which the caller was told to return.
     promised: time::Duration,
+    reason: RejectionReason,
     /// The position in the order of rejections.
     sequence: u64,
 }
@@ -125,9 +123,11 @@
 }
 
 impl RejectedJobs {
+    /// Adds a job, or replaces its earlier rejection.
     fn insert(
         &mut self,
         key: &JobKey,
+        reason: RejectionReason,
         first_submitted: Option<time::Duration>,
         promised: time::Duration,
     ) {
@@ -135,7 +135,8 @@
         let sequence = self.next_sequence;
         self.next_sequence = self.next_sequence.saturating_add(1);
         self.order.insert(sequence, key.clone());
-        self.jobs.insert(key.clone(), RejectedJob { first_submitted, promised, sequence });
+        let job = RejectedJob { first_submitted, promised, reason, sequence };
+        self.jobs.insert(key.clone(), job);
         if self.jobs.len() > MAX_REJECTED_JOBS
             && let Some((_, oldest)) = self.order.pop_first()
         {
@@ -182,11 +183,10 @@
         if let Some(job) = earlier
             && now < job.promised
         {
-            // An earlier attempt may arrive after a later one that was rejected. Accepting it would
-            // run a job that the caller was told not to be run.
-            let reason = RejectionReason::ReturnedEarly;
+            // An earlier attempt may arrive after a later one that was rejected. If it was accepted,
+            // a job would run that the caller was told is rejected.
             let retry_after = whole_seconds(job.promised.saturating_sub(now));
-            return Decision::Reject { reason, retry_after, first_submitted };
+            return Decision::Reject { reason: job.reason, retry_after, first_submitted };
         }
         let useful_until =
             first_submitted.saturating_add(submission.objective.saturating_mul(USEFUL_OBJECTIVES));
@@ -211,9 +211,9 @@
             // Once the backlog is served, the submission counts as a new one.
             let latest = start.saturating_add(start.saturating_sub(now));
             let retry_at = self.choose_retry(queue, submission.work, start, latest);
-            self.rejected.insert(key, None, retry_at);
-            let retry_after = whole_seconds(retry_at.saturating_sub(now));
             let reason = RejectionReason::NeverInTime;
+            self.rejected.insert(key, reason, None, retry_at);
+            let retry_after = whole_seconds(retry_at.saturating_sub(now));
             return Decision::Reject { reason, retry_after, first_submitted };
         }
         // Capacity for the job becomes free from its forecast start on. If that is too late, the
@@ -222,7 +222,7 @@
         let half = last_useful_start.saturating_sub(now) / 2;
         let earliest = start.min(last_useful_start.saturating_sub(half));
         let promised = self.choose_retry(queue, submission.work, earliest, last_useful_start);
-        self.rejected.insert(key, Some(first_submitted), promised);
+        self.rejected.insert(key, reason, Some(first_submitted), promised);
         let retry_after = whole_seconds(promised.saturating_sub(now));
         Decision::Reject { reason, retry_after, first_submitted }
     }
--- a/crates/load/tests/admission.rs
+++ b/crates/load/tests/admission.rs
@@ -3,136 +3,93 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time;
 
-use pier_load::admission::{
-    Admission, Decision, ForecastTimes, JobKey, RejectionReason, Submission,
-};
+use pier_load::admission::{Admission, Decision, ForecastTimes, JobKey, Submission};
 
-fn millis(millis: u64) -> time::Duration {
-    time::Duration::from_millis(millis)
-}
-
-fn key(job: &str) -> JobKey {
-    JobKey { job: job.into(), account: Some("team".into()) }
-}
+const SERVERS: u64 = 100;
+const USEFUL_MS: u64 = 6_000;
+const LOADED_MS: u64 = 20_000;
 
-/// A submission with an objective of 2 s whose job takes 1 s from `start_ms` on.
-fn submission(now_ms: u64, start_ms: u64) -> Submission {
-    Submission {
+/// Submits a job with an objective of 2 s that would run for 1 s from `start_ms` on. Returns when it
+/// was first submitted and the promised time, or the reason to reject it and the retry delay in
+/// seconds.
+fn submit(
+    admission: &mut Admission,
+    job: &str,
+    now_ms: u64,
+    start_ms: u64,
+) -> Result<(u64, Option<u64>), (&'static str, u64)> {
+    let millis = time::Duration::from_millis;
+    let submission = Submission {
         now: millis(now_ms),
-        objective: millis(2_000),
+        objective: millis(USEFUL_MS / 3),
         forecast: Some(ForecastTimes { start: millis(start_ms), end: millis(start_ms + 1_000) }),
         is_below_job_limit: true,
         work: millis(100),
         default_retry_delay: millis(1_000),
-    }
-}
-
-fn decide(admission: &mut Admission, job: &str, submission: &Submission) -> Decision {
-    admission.decide(&key(job), &"queue".into(), submission)
-}
-
-fn rejection(decision: Decision) -> (RejectionReason, u64) {
-    let Decision::Reject { reason, retry_after, .. } = decision else {
-        panic!("the job was accepted");
     };
-    assert_eq!(0, retry_after.subsec_nanos(), "Retry-After is in whole seconds");
-    (reason, retry_after.as_secs())
-}
-
-/// Guards against jobs that are rejected although they can end in time for their callers, and
-/// against jobs that are accepted although their results are of no use any more.
-#[test]
-fn only_a_job_that_ends_after_three_objectives_is_rejected() {
-    let mut admission = Admission::new();
-    let late = decide(&mut admission, "late", &submission(0, 5_000));
-    assert_eq!(Decision::Accept { first_submitted: millis(0), promised: None }, late);
-    let (reason, retry_s) = rejection(decide(&mut admission, "useless", &submission(0, 5_001)));
-    assert_eq!(RejectionReason::CannotEndInTime, reason);
-    assert!((1..=5).contains(&retry_s), "a retry after {retry_s} s is of no use");
-    let mut without_forecast = submission(0, 0);
-    without_forecast.forecast = None;
-    let accepted = decide(&mut admission, "unknown", &without_forecast);
-    assert_eq!(Decision::Accept { first_submitted: millis(0), promised: None }, accepted);
-    without_forecast.is_below_job_limit = false;
-    let (reason, _) = rejection(decide(&mut admission, "limit", &without_forecast));
-    assert_eq!(RejectionReason::TooManyJobs, reason);
+    let key = JobKey { job: job.into(), account: None };
+    let to_millis = |at: time::Duration| u64::try_from(at.as_millis()).expect("a short time");
+    match admission.decide(&key, &"queue".into(), &submission) {
+        Decision::Accept { first_submitted, promised } => {
+            Ok((to_millis(first_submitted), promised.map(to_millis)))
+        }
+        Decision::Reject { reason, retry_after, .. } => {
+            Err((reason.as_str(), to_millis(retry_after) / 1_000))
+        }
+    }
 }
 
-/// Guards against callers that are rejected together and return together, and against callers that
-/// lose their place to those who were rejected after them.
+/// Guards against callers that are rejected together and return together, against a promised time
+/// that is of no use, and against a job that runs after its rejection because an earlier attempt of
+/// the caller arrives late.
 #[test]
 fn callers_that_are_rejected_together_return_spread_and_in_order() {
-    let mut admission = Admission::new();
+    let mut admission = Admission::default();
+    assert_eq!(Ok((0, None)), submit(&mut admission, "late", 0, 5_000));
     let mut delays_s = BTreeSet::new();
-    for index in 0..20 {
-        let (_, delay_s) =
-            rejection(decide(&mut admission, &format!("job{index}"), &submission(0, 20_000)));
-        delays_s.insert(delay_s);
+    for job in 10..30 {
+        let rejected = submit(&mut admission, &job.to_string(), 0, 5_001);
+        let (reason, retry_s) = rejected.expect_err("its result is of no use");
+        assert_eq!("the job cannot end in time", reason);
+        delays_s.insert(retry_s);
+        assert!(submit(&mut admission, &job.to_string(), 2_000, 2_000).is_err(), "it is early");
     }
     assert_eq!(BTreeSet::from([3, 4, 5]), delays_s);
-    let mut last = millis(0);
-    for index in 0..20 {
-        let returned = decide(&mut admission, &format!("job{index}"), &submission(5_000, 5_000));
-        let Decision::Accept { first_submitted, promised: Some(promised) } = returned else {
-            panic!("the caller has no place: {returned:?}");
-        };
-        assert_eq!(millis(0), first_submitted);
-        assert!(promised > last, "job{index} was promised the time of an earlier caller");
-        last = promised;
+    let mut places = Vec::new();
+    for job in 10..30 {
+        places.push(submit(&mut admission, &job.to_string(), 5_000, 5_000));
     }
+    assert!(places.iter().all(|place| matches!(place, Ok((0, Some(_))))), "{places:?}");
+    assert!(places.is_sorted_by(|a, b| a < b), "{places:?}");
 }
 
-/// Guards against a job that runs after its caller was told that it does not: an earlier attempt of
-/// the caller may be under way when a later one is rejected.
-#[test]
-fn an_attempt_before_the_promised_time_is_rejected() {
-    let mut admission = Admission::new();
-    rejection(decide(&mut admission, "job", &submission(0, 20_000)));
-    let (reason, retry_s) = rejection(decide(&mut admission, "job", &submission(500, 500)));
-    assert_eq!((RejectionReason::ReturnedEarly, 2), (reason, retry_s));
-    let other = JobKey { job: "job".into(), account: Some("other".into()) };
-    let of_another = admission.decide(&other, &"queue".into(), &submission(500, 500));
-    assert_eq!(Decision::Accept { first_submitted: millis(500), promised: None }, of_another);
-}
-
-/// Guards against callers that retry although nothing is gained by it, and against a job that is
-/// rejected for ever after a first attempt that was too late.
+/// Guards against a job that is rejected for ever after a first attempt that was too late.
 #[test]
 fn a_job_without_a_useful_retry_returns_after_the_backlog_as_a_new_one() {
-    let mut admission = Admission::new();
-    rejection(decide(&mut admission, "job", &submission(0, 20_000)));
-    let again = decide(&mut admission, "job", &submission(5_500, 20_000));
-    assert_eq!((RejectionReason::NeverInTime, 15), rejection(again));
-    let early = decide(&mut admission, "job", &submission(6_000, 6_000));
-    assert_eq!(RejectionReason::ReturnedEarly, rejection(early).0);
-    let later = decide(&mut admission, "job", &submission(20_500, 20_500));
-    assert_eq!(Decision::Accept { first_submitted: millis(20_500), promised: None }, later);
+    let mut admission = Admission::default();
+    assert!(submit(&mut admission, "job", 0, 20_000).is_err());
+    let never = submit(&mut admission, "job", 5_500, 20_000);
+    assert_eq!(Err(("the job cannot end in time, also not later", 15)), never);
+    assert_eq!(Ok((20_500, None)), submit(&mut admission, "job", 20_500, 20_500));
 }
 
 /// Guards against memory that grows with the number of rejected jobs.
 #[test]
 fn the_oldest_rejections_are_forgotten_first() {
-    let mut admission = Admission::new();
-    for index in 0..4_097 {
-        rejection(decide(&mut admission, &format!("job{index}"), &submission(0, 20_000)));
+    let mut admission = Admission::default();
+    for job in 0..4_097 {
+        assert!(submit(&mut admission, &job.to_string(), 0, 20_000).is_err());
     }
-    assert_eq!(4_096, admission.remembered());
-    let first = decide(&mut admission, "job0", &submission(4_000, 4_000));
-    assert_eq!(Decision::Accept { first_submitted: millis(4_000), promised: None }, first);
-    let second = decide(&mut admission, "job1", &submission(5_000, 5_000));
-    assert!(matches!(second, Decision::Accept { promised: Some(_), .. }), "{second:?}");
+    assert_eq!(Ok((5_000, None)), submit(&mut admission, "0", 5_000, 5_000));
+    assert!(matches!(submit(&mut admission, "1", 5_000, 5_000), Ok((0, Some(_)))));
 }
 
-const SERVERS: usize = 100;
-const RUN_MS: u64 = 1_000;
-const USEFUL_MS: u64 = 6_000;
-const LOADED_MS: u64 = 20_000;
-
-/// Serves jobs of one task in the order of promised times and first submissions, with as many new
-/// jobs as can be served and `excess` more in the first second. The line does not rank expired jobs
-/// last as the decider does, so that admission control alone keeps them from being served. Returns the number of jobs that end while their results are of use.
+/// Serves jobs of 1 s in the order of promised times and first submissions, with as many new jobs as
+/// can be served and `excess` more in the first second. The line does not rank expired jobs last as
+/// the decider does, so that admission control alone keeps them from being served. Returns the
+/// number of jobs that end while their results are of use.
 fn served(excess: u64, is_admission_on: bool) -> u64 {
-    let mut admission = Admission::new();
+    let mut admission = Admission::default();
     let mut arrivals: BTreeMap<u64, Vec<String>> = BTreeMap::new();
     for index in 0..LOADED_MS / 10 {
         arrivals.entry(index * 10).or_default().push(format!("usual{index}"));
@@ -141,35 +98,28 @@
         arrivals.entry(index * 1_000 / excess).or_default().push(format!("excess{index}"));
     }
     let mut waiting: BTreeSet<(u64, u64, String)> = BTreeSet::new();
-    let mut running: Vec<u64> = Vec::new();
-    let mut served = 0;
+    let (mut running, mut served) = (Vec::new(), 0);
     while let Some((now_ms, jobs)) = arrivals.pop_first() {
         running.retain(|ends_ms| *ends_ms > now_ms);
         for job in jobs {
             let backlog = u64::try_from(waiting.len() + running.len()).expect("few jobs");
-            let start_ms = now_ms + (backlog * RUN_MS / SERVERS as u64).saturating_sub(RUN_MS);
-            let mut request = submission(now_ms, start_ms);
-            request.work = millis(RUN_MS / SERVERS as u64);
-            if !is_admission_on {
-                request.forecast = None;
-            }
-            match decide(&mut admission, &job, &request) {
-                Decision::Accept { first_submitted, promised } => {
-                    let promised = promised.map_or(u64::MAX, |at| at.as_millis() as u64);
-                    waiting.insert((promised, first_submitted.as_millis() as u64, job));
+            let wait_ms = (backlog * 1_000 / SERVERS).saturating_sub(1_000);
+            let start_ms = if is_admission_on { now_ms + wait_ms } else { now_ms };
+            match submit(&mut admission, &job, now_ms, start_ms) {
+                Ok((first_ms, promised_ms)) => {
+                    waiting.insert((promised_ms.unwrap_or(u64::MAX), first_ms, job));
                 }
-                Decision::Reject { reason: RejectionReason::NeverInTime, .. } => {}
-                Decision::Reject { retry_after, .. } => {
-                    let retry_ms = now_ms + retry_after.as_millis() as u64;
-                    arrivals.entry(retry_ms).or_default().push(job);
+                Err((reason, _)) if reason.ends_with("also not later") => {}
+                Err((_, retry_s)) => {
+                    arrivals.entry(now_ms + retry_s * 1_000).or_default().push(job);
                 }
             }
         }
-        while running.len() < SERVERS
+        while running.len() < 100
             && let Some((_, first_ms, _)) = waiting.pop_first()
         {
-            running.push(now_ms + RUN_MS);
-            served += u64::from(now_ms + RUN_MS <= first_ms + USEFUL_MS && now_ms < LOADED_MS);
+            running.push(now_ms + 1_000);
+            served += u64::from(now_ms + 1_000 <= first_ms + USEFUL_MS && now_ms < LOADED_MS);
         }
     }
     served
