Keep rounded retry delays within the useful time

Cause: Retry-After is rounded up to whole seconds. A caller whose promised time was the last useful one came back up to a second too late, and its job was rejected for good.

Change: Promised times end at the last whole second in which a retry is of use, if there is one. Two functions that only tests used are removed.

--- a/crates/load/src/admission.rs
+++ b/crates/load/src/admission.rs
@@ -160,16 +160,6 @@
 }
 
 impl Admission {
-    /// Creates the state without any rejected jobs.
-    pub fn new() -> Self {
-        Self::default()
-    }
-
-    /// The number of rejected jobs that are remembered.
-    pub fn remembered(&self) -> usize {
-        self.rejected.jobs.len()
-    }
-
     /// Decides on a submission of a job that has not been accepted before.
     pub fn decide(
         &mut self,
@@ -216,12 +206,16 @@
             let retry_after = whole_seconds(retry_at.saturating_sub(now));
             return Decision::Reject { reason, retry_after, first_submitted };
         }
+        // `Retry-After` is rounded up to whole seconds and should not exceed the useful time by that.
+        let useful_for = last_useful_start.saturating_sub(now);
+        let whole = time::Duration::from_secs(useful_for.as_secs());
+        let latest_delay = if whole.is_zero() { useful_for } else { whole };
+        let latest = now.saturating_add(latest_delay);
         // Capacity for the job becomes free from its forecast start on. If that is too late, the
         // job can be in time only if the backlog shrinks faster than forecast. It is then to return
         // in the later half of the time in which a retry is of use.
-        let half = last_useful_start.saturating_sub(now) / 2;
-        let earliest = start.min(last_useful_start.saturating_sub(half));
-        let promised = self.choose_retry(queue, submission.work, earliest, last_useful_start);
+        let earliest = start.min(latest.saturating_sub(latest_delay / 2));
+        let promised = self.choose_retry(queue, submission.work, earliest, latest);
         self.rejected.insert(key, reason, Some(first_submitted), promised);
         let retry_after = whole_seconds(promised.saturating_sub(now));
         Decision::Reject { reason, retry_after, first_submitted }
