--- a/crates/cell/tests/admission.rs
+++ b/crates/cell/tests/admission.rs
@@ -15,15 +15,17 @@
 const ADMISSION: LoadOptions =
     LoadOptions { admission: true, shares: false, gangs: false, reclaim: false };
 
-/// Submits a job. Returns the reason if it is rejected.
-fn submit(fixture: &mut Fixture, id: &str, estimate_ms: u64) -> Option<String> {
+/// Submits a job. Returns the reason and the retry delay if it is rejected.
+fn submit(fixture: &mut Fixture, id: &str, estimate_ms: u64) -> Option<(String, u64)> {
     let mut steps = single_step(1, false);
     steps[0].estimate_ms = estimate_ms;
     fixture.submit_as(id, steps);
     let mut outcomes = Vec::new();
     fixture.with_decider(|decider, _| outcomes = decider.take_local_outcomes());
     match outcomes.pop() {
-        Some((_, RequestOutcome::Rejected { reason, .. })) => Some(reason),
+        Some((_, RequestOutcome::Rejected { reason, retry_after_ms })) => {
+            Some((reason, retry_after_ms))
+        }
         _ => None,
     }
 }
@@ -37,7 +39,7 @@
         (fixture.options.load, fixture.options.max_waiting_jobs) = (load, 1);
         let first_wall_ms = fixture.wall_ms;
         assert_eq!(None, submit(&mut fixture, "accepted", 100));
-        let rejected = Some("too many jobs are waiting".to_owned());
+        let rejected = Some(("too many jobs are waiting".to_owned(), 1_000));
         assert_eq!(rejected, submit(&mut fixture, "returns", 10_000));
         assert_eq!(None, submit(&mut fixture, "accepted", 100), "the job is known");
         let mut report = None;
--- a/crates/load/tests/admission.rs
+++ b/crates/load/tests/admission.rs
@@ -27,7 +27,8 @@
         work: millis(100),
         default_retry_delay: millis(1_000),
     };
-    let key = JobKey { job: job.into(), account: None };
+    let (account, id) = job.split_once('/').unwrap_or(("team", job));
+    let key = JobKey { job: id.into(), account: Some(account.into()) };
     let to_millis = |at: time::Duration| u64::try_from(at.as_millis()).expect("a short time");
     match admission.decide(&key, &"queue".into(), &submission) {
         Decision::Accept { first_submitted, promised } => {
@@ -41,7 +42,7 @@
 
 /// Guards against callers that are rejected together and return together, against a promised time
 /// that is of no use, and against a job that runs after its rejection because an earlier attempt of
-/// the caller arrives late.
+/// the caller arrives late. The id alone gives another account no place.
 #[test]
 fn callers_that_are_rejected_together_return_spread_and_in_order() {
     let mut admission = Admission::default();
@@ -55,6 +56,7 @@
         assert!(submit(&mut admission, &job.to_string(), 2_000, 2_000).is_err(), "it is early");
     }
     assert_eq!(BTreeSet::from([3, 4, 5]), delays_s);
+    assert_eq!(Ok((5_000, None)), submit(&mut admission, "other/10", 5_000, 5_000));
     let mut places = Vec::new();
     for job in 10..30 {
         places.push(submit(&mut admission, &job.to_string(), 5_000, 5_000));
