--- a/crates/cell/src/decider/append.rs
+++ b/crates/cell/src/decider/append.rs
@@ -183,6 +183,7 @@
         context.cell_state.live.remove(id);
         self.forecasts.forget(id);
         self.shares.forget_job(id);
+        self.admission.forget(id);
         context.cell_state.ended.insert(ids::JobId::clone(id), ended.clone());
         self.ended_order.push_back((context.now, ids::JobId::clone(id)));
         let record = JobRecord::Ended(ended);
--- a/crates/cell/src/decider/mod.rs
+++ b/crates/cell/src/decider/mod.rs
@@ -14,6 +14,7 @@
 
 use crate::advice::StepAdvice;
 use crate::cell_state::CellState;
+use crate::decider::admission::JobAdmission;
 use crate::decider::advice_calls::AdviserLoad;
 use crate::decider::append::{InFlightAppend, append_effect};
 use crate::decider::forecast::Forecasts;
@@ -33,6 +34,7 @@
 use crate::speed::WorkerSpeeds;
 use crate::worker::{Worker, WorkerIncarnation};
 
+mod admission;
 mod advice_calls;
 mod adviser;
 mod append;
@@ -174,6 +176,7 @@
     /// For accounts whose limit is reserved for a waiting gang: since when the account has used at
     /// most half of its limit.
     below_half_since: Map<AccountId, time::Duration>,
+    admission: JobAdmission,
     /// The version of the declaration whose limits of attempts were applied to all jobs.
     attempts_checked_for: ids::Version,
     advice: BTreeMap<(ids::JobId, StepIndex), StepAdvice>,
--- a/crates/cell/src/decider/schedule.rs
+++ b/crates/cell/src/decider/schedule.rs
@@ -282,7 +282,7 @@
             }
             let critical_paths = critical_paths
                 .get_or_insert_with(|| self.remaining_critical_paths(context, &job.spec));
-            let rank = ranking::rank(
+            let mut rank = ranking::rank(
                 queue,
                 &job.spec,
                 job.accepted_wall_ms,
@@ -290,6 +290,7 @@
                 critical_paths[step],
                 self.shares.exceeded_bucket(id),
             );
+            rank.promised_ms = self.admission.promised_ms(id);
             let speed_tolerance = ranking::speed_tolerance(
                 rank,
                 context.wall_ms,
--- a/crates/cell/src/decider/shares.rs
+++ b/crates/cell/src/decider/shares.rs
@@ -483,7 +483,6 @@
 impl Decider {
     /// Whether a job that is submitted now lies within its account's share. Always true while the
     /// service is not full.
-    #[expect(dead_code, reason = "the interface for admission")]
     pub(super) fn is_within_share(&self, context: &Context<'_>, spec: &JobSpec) -> bool {
         self.shares.is_within(context, spec)
     }
--- a/crates/cell/src/decider/takeover.rs
+++ b/crates/cell/src/decider/takeover.rs
@@ -6,6 +6,7 @@
 use pier_core::ids;
 use pier_core::map::Map;
 
+use crate::decider::admission::JobAdmission;
 use crate::decider::advice_calls::AdviserLoad;
 use crate::decider::forecast::Forecasts;
 use crate::decider::gangs::GangReservations;
@@ -69,6 +70,7 @@
             reclaim: Reclaim::default(),
             limit_reservations: Map::default(),
             below_half_since: Map::default(),
+            admission: JobAdmission::default(),
             attempts_checked_for: 0,
             advice: BTreeMap::new(),
             advice_requests: BTreeMap::new(),
