Let more urgent gangs plan before others

Cause: gangs of the most urgent queue planned behind wide gangs that had begun to reserve before, and waited until they expired. Change: gangs plan in order of urgency, and in the order in which they began among equals. What is reserved for less urgent gangs is open to them.

--- a/crates/cell/src/decider/gangs.rs
+++ b/crates/cell/src/decider/gangs.rs
@@ -183,13 +183,25 @@
         true
     }
 
-    fn reserved_on(&self, worker: &ids::WorkerId) -> Resources {
+    /// What is reserved on the worker for gangs that are at least as urgent.
+    fn reserved_on(&self, worker: &ids::WorkerId, urgency: Urgency) -> Resources {
         let mut reserved = Resources::ZERO;
         for held in self.held.get(worker).into_iter().flatten() {
-            reserved = reserved.plus(&held.amount);
+            if held.urgency <= urgency {
+                reserved = reserved.plus(&held.amount);
+            }
         }
         reserved
     }
+
+    /// The number of gangs that reserve capacity and are at least as urgent. A gang that waits for
+    /// its account's limit only keeps no other from reserving.
+    fn count_ahead(&self, urgency: Urgency) -> usize {
+        let is_ahead = |reservation: &&Reservation| {
+            !reservation.slots.is_empty() && reservation.urgency <= urgency
+        };
+        self.reserving.iter().filter(is_ahead).count()
+    }
 }
 
 fn urgency(candidate: &Candidate) -> Urgency {
@@ -283,8 +295,15 @@
                 positions[position] = Some(index);
             }
         }
+        // The more urgent gangs plan first, and gangs of equal urgency in the order in which they
+        // began to reserve.
+        let mut ordered: Vec<(Reservation, Option<&Candidate>)> = Vec::with_capacity(before.len());
         for (reservation, position) in before.into_iter().zip(positions) {
-            let Some(candidate) = position.and_then(|index| candidates.get(index)) else {
+            ordered.push((reservation, position.and_then(|index| candidates.get(index))));
+        }
+        ordered.sort_by_key(|(_, candidate)| candidate.map(urgency));
+        for (reservation, candidate) in ordered {
+            let Some(candidate) = candidate else {
                 self.keep_restarting(context, reservation);
                 continue;
             };
@@ -408,9 +427,7 @@
     ) {
         let step = candidate.step();
         let key = candidate.key();
-        // A gang that waits for its account's limit only keeps no other from reserving.
-        let has_slots = |reservation: &&Reservation| !reservation.slots.is_empty();
-        let count = self.gangs.reserving.iter().filter(has_slots).count();
+        let count = self.gangs.count_ahead(urgency(candidate));
         let idle_ppm = self.gangs.idle_ppm.get(&queue.service).copied().unwrap_or_default();
         if self.gangs.get(&key).is_some()
             || candidate.rank.deadline_status == DeadlineStatus::Expired
@@ -490,7 +507,7 @@
             }
             rooms.push(WorkerRoom {
                 free: worker.free(),
-                reserved: self.gangs.reserved_on(id),
+                reserved: self.gangs.reserved_on(id, urgency(candidate)),
                 ends: &state.ends,
                 spread_left: step.spread_limit.unwrap_or(usize::MAX),
                 has_failed: state.has_failed,
@@ -555,7 +572,7 @@
             };
             let tasks = u64::try_from(*tasks).unwrap_or(u64::MAX);
             let amount = candidate.step().need.scaled(tasks, 1);
-            let free = worker.free().minus(&self.gangs.reserved_on(id));
+            let free = worker.free().minus(&self.gangs.reserved_on(id, reservation.urgency));
             let idle = amount.min(&free).dominant_share_ppm(&capacity);
             if !is_first && idle_ppm.saturating_add(idle) > MAX_IDLE_PPM {
                 continue;
--- a/crates/cell/src/decider/room.rs
+++ b/crates/cell/src/decider/room.rs
@@ -73,11 +73,13 @@
 
     /// Whether something is reserved for the step that is closed to others.
     pub(super) fn has_reserved(&self, candidate: &Candidate) -> bool {
-        if self.reclaim.holds_for(&candidate.job, candidate.step) {
+        if self.reclaim.holds_for(&candidate.job, candidate.step)
+            || self.gangs.get(&candidate.key()).is_some()
+        {
             return true;
         }
         let is_own =
             |(job, step, _): &(_, _, u32)| *job == candidate.job && *step == candidate.step;
-        candidate.step().gang && self.worker_reservations.values().any(is_own)
+        candidate.step().gang && self.gangs.whole_workers.values().any(is_own)
     }
 }
--- a/crates/cell/src/decider/schedule.rs
+++ b/crates/cell/src/decider/schedule.rs
@@ -178,9 +178,9 @@
                 && reserving_gangs < MAX_RESERVING_GANGS
                 && self.shares.may_reserve(context, candidate)
             {
-                let reserved_before = self.worker_reservations.len();
+                let reserved_before = self.gangs.whole_workers.len();
                 has_reservation = self.reserve_workers(context, candidate, queue, &limit);
-                if has_reservation || self.worker_reservations.len() != reserved_before {
+                if has_reservation || self.gangs.whole_workers.len() != reserved_before {
                     // Workers that were reserved before may be open now.
                     room = RoomBounds::default();
                 }
