--- a/crates/cell/src/decider/advice_calls.rs
+++ b/crates/cell/src/decider/advice_calls.rs
@@ -241,7 +241,7 @@
     fn tickets_due(
         &self,
         context: &Context<'_>,
-        pass: &GangPass,
+        pass: &mut GangPass,
         candidate: &Candidate,
         queue: &Queue,
         terms: AdviserTiming,
@@ -258,6 +258,7 @@
             slots.extend(reservation.slots.iter().map(|(id, _)| ids::WorkerId::clone(id)));
             spares.extend(reservation.spares.iter().cloned());
         } else if candidate.rank.deadline_status == DeadlineStatus::Expired
+            && pass.count_new_plan()
             && let Some((plan, names)) =
                 self.plan_gang(context, pass, candidate, queue, time::Duration::ZERO)
         {
--- a/crates/cell/src/decider/gangs.rs
+++ b/crates/cell/src/decider/gangs.rs
@@ -222,6 +222,12 @@
 }
 
 impl GangPass {
+    /// Counts a plan for a gang without a reservation. Returns whether it may be made.
+    pub(super) fn count_new_plan(&mut self) -> bool {
+        self.new_plans += 1;
+        self.new_plans <= MAX_NEW_PLANS
+    }
+
     /// Whether a run has failed on the worker recently.
     pub(super) fn has_failed(&self, worker: &ids::WorkerId) -> bool {
         self.workers.get(worker).is_some_and(|worker| worker.has_failed)
@@ -413,7 +419,6 @@
         if self.gangs.get(&key).is_some()
             || candidate.rank.deadline_status == DeadlineStatus::Expired
             || count >= MAX_RESERVING_GANGS
-            || pass.new_plans >= MAX_NEW_PLANS
             || (count > 0 && idle_ppm >= MAX_IDLE_PPM)
             || place::fit_count(&step.need, limit) < candidate.waiting.len()
         {
@@ -422,7 +427,9 @@
         if queue.advice.is_some() && !self.advice.contains_key(&key) {
             return;
         }
-        pass.new_plans += 1;
+        if !pass.count_new_plan() {
+            return;
+        }
         let Some((plan, workers)) =
             self.plan_gang(context, pass, candidate, queue, time::Duration::ZERO)
         else {
--- a/crates/cell/tests/sim/gangs.rs
+++ b/crates/cell/tests/sim/gangs.rs
@@ -54,6 +54,9 @@
         state.is_whole = true;
         let ends_at_ms = self.now_ms + state.run_ms;
         let mut kind = state.kind;
+        if !self.failing_workers.is_empty() {
+            return self.begin_gang_with_failures(round, ends_at_ms);
+        }
         self.for_each_member(round, |run| {
             run.ends_at_ms = ends_at_ms;
             run.waits_until_ms = None;
@@ -65,6 +68,19 @@
         });
     }
 
+    /// Begins a gang whose members fail as their workers do. If one fails, the others are broken.
+    fn begin_gang_with_failures(&mut self, round: &GangRound, ends_at_ms: u64) {
+        let mut failures = 0;
+        self.for_each_member(round, |run| failures += usize::from(run.kind == EndKind::Failed));
+        self.for_each_member(round, |run| {
+            run.ends_at_ms = ends_at_ms;
+            run.waits_until_ms = None;
+            if failures > 0 && run.kind != EndKind::Failed {
+                run.kind = EndKind::Broken;
+            }
+        });
+    }
+
     /// Ends the members of gangs that have begun to work and have lost a member.
     pub(super) fn advance_gangs(&mut self) {
         if self.gangs.is_empty() {
