Test that only short steps use capacity reserved for a gang

Cause: nothing guarded the backfill of reserved capacity. Change: a test with a short and a long step beside a gang that waits.

--- a/crates/cell/tests/gangs.rs
+++ b/crates/cell/tests/gangs.rs
@@ -135,3 +135,21 @@
     assert!(completed >= 57, "{completed} of {count} gangs completed");
     check_invariants(&sim);
 }
+
+/// Guards against reserved capacity that is idle although short steps could use it, and against long
+/// steps that delay the gang.
+#[test]
+fn only_steps_that_end_before_the_gang_starts_use_its_capacity() {
+    let mut sim = cell(3, 1);
+    let lasting = |tasks, need, estimate_ms| vec![Step { estimate_ms, ..step(tasks, need) }];
+    sim.submit(0, "busy", "batch", lasting(1, 10, 3_000));
+    sim.run_for(300);
+    sim.submit(0, "gang0", "batch", gang(2, 8, 500));
+    sim.run_for(300);
+    sim.submit(0, "long", "batch", lasting(1, 4, 5_000));
+    sim.submit(0, "short", "batch", lasting(1, 4, 500));
+    sim.run_for(1_200);
+    assert_eq!(sim.stored_state("short"), Some(JobState::Completed));
+    sim.run_for(2_700);
+    assert_eq!(count_completed(&sim, "gang", 1), 1);
+}
