Let parts of load control that are switched off cost nothing

A live switch-off of gangs kept their reservations for ever. Change: these are skipped while their part is off, and reservations are released.

--- a/crates/cell/src/decider/adviser.rs
+++ b/crates/cell/src/decider/adviser.rs
@@ -269,7 +269,9 @@
             tracing::warn!(job = %request.job, step = request.step, host = request.host.as_deref(),
                 "no response to the advice request");
         }
-        if let Some(response) = response {
+        if context.options.load.is_any()
+            && let Some(response) = response
+        {
             self.learn_eligible_share(
                 context,
                 &request.job,
--- a/crates/cell/src/decider/gangs.rs
+++ b/crates/cell/src/decider/gangs.rs
@@ -183,6 +183,14 @@
         true
     }
 
+    /// Releases what gangs reserve, after the part was switched off.
+    fn release_all(&mut self) {
+        self.reserving.clear();
+        self.held.clear();
+        self.idle_ppm.clear();
+        self.breaks.clear();
+    }
+
     /// What is reserved on the worker for gangs that are at least as urgent.
     fn reserved_on(&self, worker: &ids::WorkerId, urgency: Urgency) -> Resources {
         let mut reserved = Resources::ZERO;
@@ -254,6 +262,7 @@
         candidates: &[Candidate],
     ) -> Option<GangPass> {
         if !context.options.load.gangs {
+            self.gangs.release_all();
             return None;
         }
         let pass = self.begin_gang_pass(context, candidates);
--- a/crates/cell/src/decider/reclaim.rs
+++ b/crates/cell/src/decider/reclaim.rs
@@ -273,6 +273,9 @@
     /// Stops runs for steps that wait, if they would miss their objective otherwise and can start
     /// in time then.
     pub(super) fn reclaim(&mut self, context: &mut Context<'_>, claims: Claims) {
+        if claims.claims.is_empty() {
+            return;
+        }
         let mut reclaimables = None;
         for claim in claims.claims {
             let candidate = &claim.candidate;
--- a/crates/cell/src/decider/run_times.rs
+++ b/crates/cell/src/decider/run_times.rs
@@ -32,7 +32,9 @@
         let rack = self.workers.get(&run.worker).and_then(|worker| worker.rack());
         let is_data_local = step.data_rack.is_none() || step.data_rack.as_ref() == rack;
         if step.gang {
-            if let Some(took) = self.gang_run_time(context, task, step.tasks) {
+            if context.options.load.is_any()
+                && let Some(took) = self.gang_run_time(context, task, step.tasks)
+            {
                 self.speeds.record_gang_run_time(&job.spec.queue, took, step.estimate());
             }
             return;
--- a/crates/cell/src/decider/schedule.rs
+++ b/crates/cell/src/decider/schedule.rs
@@ -128,7 +128,9 @@
                 continue;
             }
             let at_once = if step.gang { waiting } else { 1 };
-            let has_room = self.room_bound(context, &mut room, queue, &step.need) >= at_once
+            // Few workers have a ticket, so that looking at them costs less than the bound.
+            let has_room = queue.advice.is_some()
+                || self.room_bound(context, &mut room, queue, &step.need) >= at_once
                 || self.has_reserved(candidate);
             let mut workers = if has_room {
                 self.dispatchable_workers(context, candidate, queue)
@@ -310,7 +312,7 @@
                 step,
                 spec: sync::Arc::clone(&job.spec),
                 waiting,
-                run_time: self.speeds.expected(&job.spec.queue, job.spec.steps[step].estimate()),
+                run_time: self.expected_run_time(context, &job.spec.queue, &job.spec.steps[step]),
             });
         }
     }
--- a/crates/cell/src/decider/shares.rs
+++ b/crates/cell/src/decider/shares.rs
@@ -497,7 +497,9 @@
         queue: &Queue,
         has_ticket: bool,
     ) {
-        if candidate.rank.deadline_status == DeadlineStatus::Expired {
+        let is_divided =
+            self.shares.divisions.get(&queue.service).is_some_and(|division| !division.is_full);
+        if candidate.rank.deadline_status == DeadlineStatus::Expired || !is_divided {
             return;
         }
         let waits_for_advice =
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -157,13 +157,13 @@
         &self,
         run_time: impl Fn(&Step) -> time::Duration,
     ) -> Vec<time::Duration> {
-        let run_times: Vec<time::Duration> = self.steps.iter().map(run_time).collect();
-        let mut critical_paths = run_times.clone();
+        let mut critical_paths: Vec<time::Duration> = self.steps.iter().map(&run_time).collect();
         // A step depends on earlier steps only, so in reverse order the paths of all its dependents
         // are complete.
         for index in (0..self.steps.len()).rev() {
             for before in &self.steps[index].after {
-                let through = run_times[*before].saturating_add(critical_paths[index]);
+                let before_time = run_time(&self.steps[*before]);
+                let through = before_time.saturating_add(critical_paths[index]);
                 critical_paths[*before] = critical_paths[*before].max(through);
             }
         }
