--- a/crates/cell/src/decider/gangs.rs
+++ b/crates/cell/src/decider/gangs.rs
@@ -649,10 +649,10 @@
 
     /// Reports the levels after a pass.
     pub(super) fn report_gang_levels(&mut self, pass: &GangPass) {
-        let gathering_gangs = self.gangs.reserving.len();
+        let reserving_gangs = self.gangs.reserving.len();
         let levels = self.load_report.levels.get_or_insert_with(LoadLevels::default);
-        levels.waiting_gangs = pass.waiting_gangs.saturating_sub(gathering_gangs);
-        levels.gathering_gangs = gathering_gangs;
+        levels.waiting_gangs = pass.waiting_gangs.saturating_sub(reserving_gangs);
+        levels.reserving_gangs = reserving_gangs;
         levels.busy_adviser_hosts = self.busy_adviser_hosts.len();
     }
 }
--- a/crates/cell/src/decider/learned.rs
+++ b/crates/cell/src/decider/learned.rs
@@ -5,6 +5,7 @@
 
 use pier_core::ids;
 use pier_core::map::Map;
+use pier_load::advice::EligibleShare;
 use pier_load::run_times::RunTimes;
 
 use crate::decider::{Context, Decider};
@@ -18,43 +19,30 @@
 /// The greatest length of the record.
 const MAX_LOAD_RECORD_BYTES: usize = 4_096;
 
-/// The learned share of workers that advisers allow.
+/// The learned shares of eligible workers by queue.
 #[derive(Debug, Default)]
 pub(super) struct EligibleShares {
-    /// The workers named and those of them that were eligible.
-    queues: Map<ids::QueueId, (f64, f64)>,
+    queues: Map<ids::QueueId, EligibleShare>,
 }
 
 impl EligibleShares {
-    /// The number of workers named after which the older ones decay.
-    const WINDOW: f64 = 1_000.0;
-    /// The share before any response, with the weight of ten workers.
-    const INITIAL: (f64, f64) = (10.0, 5.0);
-
     /// Records a response about workers whose eligibility was not known.
     pub(super) fn record_advice(&mut self, queue: &ids::QueueId, named: usize, eligible: usize) {
-        let counts = self.queues.entry(ids::QueueId::clone(queue)).or_default();
-        let count = |workers| f64::from(u32::try_from(workers).unwrap_or(u32::MAX));
-        counts.0 += count(named);
-        counts.1 += count(eligible.min(named));
-        if counts.0 > Self::WINDOW {
-            counts.1 *= Self::WINDOW / counts.0;
-            counts.0 = Self::WINDOW;
-        }
+        self.queues.entry(ids::QueueId::clone(queue)).or_default().record(named, eligible);
     }
 
     /// The share of workers that may run a step of the queue.
     pub(super) fn share(&self, queue: &str) -> f64 {
-        let (named, eligible) = self.queues.get(queue).copied().unwrap_or_default();
-        (eligible + Self::INITIAL.1) / (named + Self::INITIAL.0)
+        self.queues.get(queue).copied().unwrap_or_default().share()
     }
 
     /// The shares for a record.
     #[expect(clippy::cast_possible_truncation, reason = "seven digits are enough for a record")]
     pub(super) fn to_values(&self) -> BTreeMap<ids::QueueId, [f32; 2]> {
         let mut values = BTreeMap::new();
-        for (queue, (named, eligible)) in &self.queues {
-            values.insert(ids::QueueId::clone(queue), [*named as f32, *eligible as f32]);
+        for (queue, share) in &self.queues {
+            let (answered, eligible) = share.counts();
+            values.insert(ids::QueueId::clone(queue), [answered as f32, eligible as f32]);
         }
         values
     }
@@ -63,11 +51,9 @@
     pub(super) fn from_values(values: &BTreeMap<ids::QueueId, [f32; 2]>) -> Self {
         let mut queues = Map::default();
         for (queue, counts) in values {
-            let [named, eligible] = counts.map(f64::from);
-            let is_valid =
-                (0.0..=Self::WINDOW + 1.0).contains(&named) && (0.0..=named).contains(&eligible);
-            if is_valid {
-                queues.insert(ids::QueueId::clone(queue), (named, eligible));
+            let [answered, eligible] = counts.map(f64::from);
+            if let Some(share) = EligibleShare::from_counts(answered, eligible) {
+                queues.insert(ids::QueueId::clone(queue), share);
             }
         }
         Self { queues }
--- a/crates/cell/src/decider/schedule.rs
+++ b/crates/cell/src/decider/schedule.rs
@@ -21,7 +21,7 @@
 
 /// The maximum number of gangs that reserve workers at the same time. More would leave too little
 /// for the steps behind them.
-const MAX_RESERVING_GANGS: usize = 2;
+const MAX_GANGS_RESERVING_WORKERS: usize = 2;
 
 /// How long a step waits for a worker that is fast enough. After that any worker will do, because a
 /// step must not wait while resources are free.
@@ -177,7 +177,7 @@
             }
             let mut has_reservation = false;
             if candidate.step().gang
-                && reserving_gangs < MAX_RESERVING_GANGS
+                && reserving_gangs < MAX_GANGS_RESERVING_WORKERS
                 && self.shares.may_reserve(context, candidate)
             {
                 let reserved_before = self.gangs.whole_workers.len();
--- a/crates/cell/src/load_report.rs
+++ b/crates/cell/src/load_report.rs
@@ -49,7 +49,7 @@
     /// Gangs that wait without holding room.
     pub waiting_gangs: usize,
     /// Gangs that hold room.
-    pub gathering_gangs: usize,
+    pub reserving_gangs: usize,
     /// Hosts with an open advice request.
     pub busy_adviser_hosts: usize,
     /// The shares of the accounts, while capacity is divided.
--- a/crates/load/src/advice.rs
+++ b/crates/load/src/advice.rs
@@ -61,6 +61,18 @@
         }
     }
 
+    /// The workers that responses concerned, and those of them that are eligible.
+    pub fn counts(&self) -> (f64, f64) {
+        (self.answered, self.eligible)
+    }
+
+    /// Restores the share from its counts. None if no responses can yield them.
+    pub fn from_counts(answered: f64, eligible: f64) -> Option<Self> {
+        let is_valid = (0.0..=MAX_ANSWERED_WORKERS + 1.0).contains(&answered)
+            && (0.0..=answered).contains(&eligible);
+        is_valid.then_some(Self { answered, eligible })
+    }
+
     /// The share, between 0 and 1.
     pub fn share(&self) -> f64 {
         (self.eligible + PRIOR_SHARE * PRIOR_WORKERS) / (self.answered + PRIOR_WORKERS)
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -121,7 +121,7 @@
         let gauge = |amount: usize| i64::try_from(amount).unwrap_or(i64::MAX);
         self.adviser_busy_hosts.set(gauge(levels.busy_adviser_hosts));
         for (state, count) in
-            [("waiting", levels.waiting_gangs), ("gathering", levels.gathering_gangs)]
+            [("waiting", levels.waiting_gangs), ("reserving", levels.reserving_gangs)]
         {
             self.gangs.get_or_create(&vec![label("state", state)]).set(gauge(count));
         }
