Run accepted jobs by their last terms when their queue or account is removed

Cause: the decider looked the terms of accepted jobs up in the newest declaration. A job of a queue that is not there was no candidate, and an account that is not there had a limit of zero. The logs show ends that are recorded and neither starts nor lost runs after them.

Change: the log keeps the terms of declared queues and accounts, and those of removed ones while jobs use them; the decider adds the latter to its declaration. A submission whose queue or account the decider does not know is rejected, also before it has read the list of workers.

The fixture declares the accounts that `job_accounts.rs` uses.

--- a/crates/cell/src/cell_state.rs
+++ b/crates/cell/src/cell_state.rs
@@ -8,6 +8,7 @@
 use crate::job::{JobSpec, JobState, Requester};
 use crate::progress::Progress;
 use crate::record::{Change, Claim, EndedJob, JobRecord, LoadRecord, Record, Withdrawal};
+use crate::terms::Terms;
 
 /// A job that has not ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -42,6 +43,8 @@
     /// The ids of jobs that were cancelled before a submission of them arrived. To callers
     /// these jobs do not exist.
     pub withdrawn: BTreeMap<ids::JobId, Withdrawal>,
+    /// The terms of the queues and accounts of jobs.
+    pub terms: Terms,
     /// What deciders have learned about the load.
     pub load: Option<LoadRecord>,
 }
@@ -66,6 +69,18 @@
             }
             Change::BatchHeader(_) => {}
             Change::Load(learned) => self.load = learned,
+            Change::Queue(name, Some(queue)) => {
+                self.terms.queues.insert(name, queue);
+            }
+            Change::Queue(name, None) => {
+                self.terms.queues.remove(&name);
+            }
+            Change::Account(name, Some(account)) => {
+                self.terms.accounts.insert(name, account);
+            }
+            Change::Account(name, None) => {
+                self.terms.accounts.remove(&name);
+            }
             Change::Job(id, None) => {
                 self.live.remove(&id);
                 self.ended.remove(&id);
--- a/crates/cell/src/decider/append.rs
+++ b/crates/cell/src/decider/append.rs
@@ -80,11 +80,11 @@
         let sequence = context.tickets.issue();
         let mut records =
             vec![Record::batch_header(&BatchHeader { incarnation: self.incarnation, sequence })];
-        let jobs = self.push_changed_jobs(context, &mut records);
+        let jobs = self.push_changes(context, &mut records);
         let starts = self.take_starts_of(&jobs);
         let mut replies = Vec::new();
         let mut ends = Vec::new();
-        let is_complete = self.dirty.is_empty();
+        let is_complete = self.dirty.is_empty() && self.changed_terms.is_empty();
         if is_complete {
             replies = std::mem::take(&mut self.pending_replies);
             ends = std::mem::take(&mut self.pending_ends);
@@ -115,17 +115,17 @@
         self.in_flight = Some(append);
     }
 
-    /// Adds the records of changed jobs and returns the jobs. Changes that would make the append
-    /// too long wait for the next one, and with them all replies and acknowledgements of run ends:
-    /// these do not name the jobs that they depend on.
-    fn push_changed_jobs(
+    /// Adds the records of changed terms and jobs, and returns the jobs. Changes that would make the
+    /// append too long wait for the next one, and with them all replies and acknowledgements of run
+    /// ends: these do not name the jobs that they depend on.
+    fn push_changes(
         &mut self,
         context: &mut Context<'_>,
         records: &mut Vec<Record>,
     ) -> BTreeSet<ids::JobId> {
         let max_bytes = context.options.max_append_bytes / APPEND_FILL_DIVISOR;
         let mut jobs = BTreeSet::new();
-        let mut bytes = 0;
+        let mut bytes = self.push_changed_terms(max_bytes, records);
         while bytes < max_bytes {
             let Some(id) = self.dirty.pop_first() else {
                 break;
--- a/crates/cell/src/decider/dispatch.rs
+++ b/crates/cell/src/decider/dispatch.rs
@@ -9,7 +9,7 @@
 use crate::decider::{Context, Decider};
 use crate::effect::{Effect, StartRequest, WorkerOperation};
 use crate::event::{ListedEnd, RejectReason, StartResponse};
-use crate::job::{JobState, RunNumber, StepIndex, TaskRef};
+use crate::job::{RunNumber, StepIndex, TaskRef};
 use crate::progress::Phase;
 use crate::run::{EndKind, RunPhase};
 
@@ -49,7 +49,10 @@
         if context.zones_out.contains(&worker.info.zone) {
             return Err("the zone is out of service");
         }
-        let queue = context.declaration.queue(&job.spec.queue).ok_or("the queue was removed")?;
+        let queue = context
+            .declaration
+            .queue(&job.spec.queue)
+            .ok_or("the terms of the queue are unknown")?;
         if job.progress.is_exhausted(queue.attempts()) {
             return Err("the attempts are used up");
         }
@@ -405,33 +408,6 @@
         }
         self.dirty.insert(ids::JobId::clone(&task.job));
     }
-
-    /// Applies the attempts that a new declaration allows to all jobs. A job may have failed while
-    /// its queue was not declared, also under an earlier decider.
-    pub(super) fn apply_declared_attempts(&mut self, context: &mut Context<'_>) {
-        if self.attempts_checked_for == context.declaration.version {
-            return;
-        }
-        self.attempts_checked_for = context.declaration.version;
-        let jobs: Vec<ids::JobId> = context.cell_state.live.keys().cloned().collect();
-        for job in jobs {
-            self.fail_if_exhausted(context, &job);
-        }
-    }
-
-    /// Fails the job if its attempts are used up. The jobs of a queue that is not declared wait for
-    /// a declaration with the queue.
-    fn fail_if_exhausted(&mut self, context: &mut Context<'_>, id: &ids::JobId) {
-        let Some(job) = context.cell_state.live.get(id) else {
-            return;
-        };
-        let Some(queue) = context.declaration.queue(&job.spec.queue) else {
-            return;
-        };
-        if job.progress.is_exhausted(queue.attempts()) {
-            self.set_final_state(context, id, JobState::Failed);
-        }
-    }
 }
 
 /// The step that the task belongs to.
--- a/crates/cell/src/decider/forecast_build.rs
+++ b/crates/cell/src/decider/forecast_build.rs
@@ -267,7 +267,7 @@
             *wanted = wanted.plus(&entry.work.need.scaled(tasks, 1));
         }
         let mut pools: Map<&AccountId, (Pool, Vec<RankedWork>)> = Map::default();
-        for account in &context.declaration.accounts {
+        for account in context.declaration.all_accounts() {
             let used = self.shares.used(&account.name);
             let wanted = wanted.get(&account.name).copied().unwrap_or_default();
             if used.plus(&wanted).fits_in(&account.cap.scaled(1, 2)) {
@@ -305,7 +305,7 @@
     ) -> Map<ServiceId, ServiceForecast> {
         let mut forecasts = Map::default();
         let mut services: Set<&ServiceId> = Set::default();
-        for queue in &context.declaration.queues {
+        for queue in context.declaration.all_queues() {
             services.insert(&queue.service);
         }
         for service in services {
--- a/crates/cell/src/decider/gangs.rs
+++ b/crates/cell/src/decider/gangs.rs
@@ -400,7 +400,7 @@
                 reserved_ms = pier_core::clock::millis(waited), "gang gave up its reservation");
         };
         let Some(queue) = context.declaration.queue(&candidate.spec.queue) else {
-            return give_up("the queue was removed");
+            return give_up("the terms of the queue are unknown");
         };
         if candidate.rank.deadline_status == DeadlineStatus::Expired {
             return give_up("the job has expired");
--- a/crates/cell/src/decider/mod.rs
+++ b/crates/cell/src/decider/mod.rs
@@ -29,7 +29,7 @@
 use crate::options::Options;
 use crate::peer::{Message, PeerInfo, RequestOutcome};
 use crate::progress::Phase;
-use crate::record::Claim;
+use crate::record::{Claim, Record};
 use crate::run::Run;
 use crate::speed::WorkerSpeeds;
 use crate::worker::{Worker, WorkerIncarnation};
@@ -53,6 +53,7 @@
 mod schedule;
 mod shares;
 mod takeover;
+mod terms;
 
 /// The inputs and outputs of the decider besides its own state.
 pub struct Context<'a> {
@@ -62,7 +63,7 @@
     pub wall_ms: u64,
     /// Timeouts and limits.
     pub options: &'a Options,
-    /// The operators' declaration.
+    /// The operators' declaration, with the terms of removed queues and accounts of accepted jobs.
     pub declaration: &'a Declaration,
     /// The availability zones that are out of service and get no work.
     pub zones_out: &'a BTreeSet<ids::ZoneId>,
@@ -177,8 +178,10 @@
     /// most half of its limit.
     below_half_since: Map<AccountId, time::Duration>,
     admission: JobAdmission,
-    /// The version of the declaration whose limits of attempts were applied to all jobs.
-    attempts_checked_for: ids::Version,
+    /// The version of the declaration that was last applied, see [`Self::apply_declaration`].
+    applied_version: ids::Version,
+    /// The records of terms that are not part of an append yet.
+    changed_terms: VecDeque<Record>,
     advice: BTreeMap<(ids::JobId, StepIndex), StepAdvice>,
     advice_requests: BTreeMap<ids::Ticket, PendingAdvice>,
     /// The hosts with an open advice request. None stands for this host.
@@ -265,6 +268,7 @@
     fn has_changes(&self) -> bool {
         self.release.is_some()
             || !self.dirty.is_empty()
+            || !self.changed_terms.is_empty()
             || !self.pending_ends.is_empty()
             || !self.pending_replies.is_empty()
     }
@@ -291,7 +295,7 @@
         }
         self.last_schedule_at = context.now;
         self.needs_scheduling = false;
-        self.apply_declared_attempts(context);
+        self.apply_declaration(context);
         if self.release.is_none() {
             self.schedule(context);
         }
--- a/crates/cell/src/decider/requests.rs
+++ b/crates/cell/src/decider/requests.rs
@@ -37,6 +37,7 @@
             self.reply_when_stored(context, &id, origin);
             return;
         }
+        self.apply_declaration(context);
         let admitted = match self.reason_to_reject(context, &spec) {
             Some(rejection) => Err(rejection),
             None => self.admit(context, &spec),
@@ -99,13 +100,21 @@
         {
             return Some(("too many jobs are waiting", context.options.retry_after));
         }
+        // The host that took the submission may have read another version of the declaration.
+        let Some(queue) = context.declaration.declared_queue(&spec.queue) else {
+            return Some(("the queue is not in the declaration", context.options.retry_after));
+        };
+        let mut account = None;
+        if let Some(name) = &spec.account {
+            account = context.declaration.declared_account(name);
+            if account.is_none() {
+                let reason = "the account is not in the declaration";
+                return Some((reason, context.options.retry_after));
+            }
+        }
         if !self.has_worker_list {
             return None;
         }
-        // The host that took the submission may have read the declaration before this one.
-        let Some(queue) = context.declaration.queue(&spec.queue) else {
-            return Some(("the queue is not in the declaration", context.options.retry_after));
-        };
         let mut largest = Resources::ZERO;
         for worker in self.workers.values() {
             if worker.is_listed && !worker.is_described {
@@ -118,7 +127,7 @@
         if !spec.steps.iter().all(|step| step.need.fits_in(&largest)) {
             return Some(("no worker is large enough", RETRY_AFTER_TOO_LARGE));
         }
-        let account = spec.account.as_ref().and_then(|name| context.declaration.account(name))?;
+        let account = account?;
         let is_within_cap = spec.steps.iter().all(|step| {
             let at_once = if step.gang { step.tasks } else { 1 };
             place::fit_count(&step.need, &account.cap) >= at_once
--- a/crates/cell/src/host/claim.rs
+++ b/crates/cell/src/host/claim.rs
@@ -242,11 +242,13 @@
         let Some(token) = self.cell_state.decider.as_ref().map(|logged| logged.token) else {
             return;
         };
+        // Accepted jobs may be of queues and accounts that were removed while there was no decider.
+        self.decider_declaration = self.declaration.with_removed(&self.cell_state.terms);
         let mut context = Context {
             now,
             wall_ms,
             options: &self.options,
-            declaration: &self.declaration,
+            declaration: &self.decider_declaration,
             zones_out: &self.evacuated_zones,
             cell_state: &mut self.cell_state,
             tickets: &mut self.tickets,
--- a/crates/cell/src/host/mod.rs
+++ b/crates/cell/src/host/mod.rs
@@ -82,7 +82,10 @@
     operators: Follower<OperatorRecord>,
     workers: Follower<WorkerRecord>,
     cell_state: CellState,
+    /// The newest declaration that the host has read.
     declaration: sync::Arc<Declaration>,
+    /// The same for the decider, with the terms of removed queues and accounts.
+    decider_declaration: Declaration,
     evacuated_zones: BTreeSet<ids::ZoneId>,
     role: Role,
     requests: PendingRequests,
@@ -137,6 +140,7 @@
             workers: Follower::new(options.worker_list_interval),
             cell_state: CellState::default(),
             declaration: sync::Arc::default(),
+            decider_declaration: Declaration::default(),
             evacuated_zones: BTreeSet::new(),
             role: Role::Following,
             requests: PendingRequests::default(),
@@ -297,7 +301,7 @@
             now,
             wall_ms,
             options: &self.options,
-            declaration: &self.declaration,
+            declaration: &self.decider_declaration,
             zones_out: &self.evacuated_zones,
             cell_state: &mut self.cell_state,
             tickets: &mut self.tickets,
@@ -431,6 +435,7 @@
                             offset,
                             "applied the declaration"
                         );
+                        self.decider_declaration = declaration.with_removed(&self.cell_state.terms);
                         self.declaration = declaration;
                     }
                 }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -29,4 +29,5 @@
 pub mod requests;
 pub mod run;
 pub mod speed;
+pub mod terms;
 pub mod worker;
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -10,6 +10,7 @@
 use pier_load::run_times;
 use serde::{Deserialize, Serialize};
 
+use crate::declaration::{Account, Queue};
 use crate::job::{AccountId, JobSpec, JobState, Requester};
 use crate::progress::Progress;
 
@@ -18,6 +19,10 @@
 const LOAD_KEY: &str = "load";
 const JOB_PREFIX: &str = "job/";
 const PROGRESS_PREFIX: &str = "progress/";
+const QUEUE_PREFIX: &str = "queue/";
+const ACCOUNT_PREFIX: &str = "account/";
+/// The length of a key is stored in one byte.
+const MAX_KEY_BYTES: usize = 255;
 
 /// A record as the log stores it. A record without a value deletes its key.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -187,6 +192,10 @@
     Progress(ids::JobId, Option<Vec<u8>>),
     /// What deciders have learned about the load, or its removal.
     Load(Option<LoadRecord>),
+    /// The terms of a queue, or their removal.
+    Queue(ids::QueueId, Option<Queue>),
+    /// The terms of an account, or their removal.
+    Account(AccountId, Option<Account>),
 }
 
 /// A record that this version cannot decode.
@@ -231,6 +240,21 @@
         Self { key: LOAD_KEY.to_owned(), value: Some(to_json(learned)) }
     }
 
+    /// Creates the record of a queue's terms; none removes them.
+    pub fn queue(name: &str, queue: Option<&Queue>) -> Self {
+        Self { key: format!("{QUEUE_PREFIX}{name}"), value: queue.map(to_json) }
+    }
+
+    /// Creates the record of an account's terms; none removes them.
+    pub fn account(name: &str, account: Option<&Account>) -> Self {
+        Self { key: format!("{ACCOUNT_PREFIX}{name}"), value: account.map(to_json) }
+    }
+
+    /// Whether the log takes the record, which may be at most `max_bytes` long.
+    pub fn is_storable(&self, max_bytes: usize) -> bool {
+        self.key.len() <= MAX_KEY_BYTES && self.stored_bytes() <= max_bytes
+    }
+
     /// Creates a job's record; none removes the job.
     pub fn job(id: &str, record: Option<&JobRecord>) -> Self {
         Self { key: format!("{JOB_PREFIX}{id}"), value: record.map(to_json) }
@@ -270,6 +294,14 @@
             let record = value.map(serde_json::from_slice).transpose().map_err(undecodable)?;
             return Ok(Some(Change::Job(id.into(), record)));
         }
+        if let Some(name) = self.key.strip_prefix(QUEUE_PREFIX) {
+            let queue = value.map(serde_json::from_slice).transpose().map_err(undecodable)?;
+            return Ok(Some(Change::Queue(name.into(), queue)));
+        }
+        if let Some(name) = self.key.strip_prefix(ACCOUNT_PREFIX) {
+            let account = value.map(serde_json::from_slice).transpose().map_err(undecodable)?;
+            return Ok(Some(Change::Account(name.into(), account)));
+        }
         match self.key.as_str() {
             CLAIM_KEY => {
                 let claim = value.map(serde_json::from_slice).transpose().map_err(undecodable)?;
--- a/crates/cell/tests/job_accounts.rs
+++ b/crates/cell/tests/job_accounts.rs
@@ -8,7 +8,7 @@
 
 use pier_cell::cell_state::CellState;
 use pier_cell::decider::RequestOrigin;
-use pier_cell::declaration::Declaration;
+use pier_cell::declaration::{Account, Declaration};
 use pier_cell::effect::{CallerResponse, Effect};
 use pier_cell::job::{JobSpec, JobState, Requester};
 use pier_cell::peer::{Message, RequestOutcome};
@@ -141,6 +141,10 @@
 #[test]
 fn each_account_that_cancels_an_unknown_id_withdraws_it() {
     let mut fixture = Fixture::new(queue(None));
+    let team = fixture.declaration.accounts[0].clone();
+    let named = |name: &str| Account { name: name.into(), ..team.clone() };
+    let accounts = ["team", "other", "third"].map(named).to_vec();
+    fixture.declare(&Declaration::new(2, vec![queue(None)], accounts, 100_000));
     fixture.list_workers(&["w0"]);
     cancel_for(&mut fixture, Some(&requester("other")));
     cancel_for(&mut fixture, Some(&requester("team")));
--- a/crates/cell/tests/silence_and_restart.rs
+++ b/crates/cell/tests/silence_and_restart.rs
@@ -15,6 +15,8 @@
 /// A cell that runs 16 tasks of a job for ten seconds each.
 fn cell_with_long_runs(seed: u64) -> Sim {
     let mut sim = Sim::new(seed, 4, 8);
+    // A run that fails is started again.
+    sim.failed_runs_percent = 0;
     sim.run_ms = 10_000;
     sim.run_for(2_000);
     sim.submit(0, "job", "batch", vec![step(16, 8)]);
--- a/crates/cell/tests/sim/mod.rs
+++ b/crates/cell/tests/sim/mod.rs
@@ -124,6 +124,8 @@
     /// The real time that each step of a decider took.
     pub step_durations: Vec<time::Duration>,
     pub declaration: Declaration,
+    /// The accounts as last declared, also removed ones.
+    last_accounts: BTreeMap<String, Account>,
     /// The API key of the callers' requests.
     pub caller_key: Option<String>,
     /// Whether callers submit rejected jobs again when they were told to.
@@ -206,6 +208,7 @@
             observed: Observations::default(),
             step_durations: Vec::new(),
             declaration: declaration.clone(),
+            last_accounts: BTreeMap::new(),
             caller_key: Some("key".to_owned()),
             are_rejected_jobs_retried: false,
             waits: Waits::default(),
@@ -249,6 +252,9 @@
 
     pub fn declare(&mut self, declaration: Declaration) {
         self.restart_waits();
+        for account in &declaration.accounts {
+            self.last_accounts.insert(account.name.to_string(), account.clone());
+        }
         self.declaration = declaration.clone();
         let record = OperatorRecord::Declaration(sync::Arc::new(declaration));
         self.operators.push("config", Some(record));
