--- a/crates/cell/src/host/mod.rs
+++ b/crates/cell/src/host/mod.rs
@@ -187,6 +187,11 @@
         self.is_stopping && self.requests.is_empty() && !self.is_decider()
     }
 
+    /// The number of callers' requests that wait for a response.
+    pub fn pending_requests(&self) -> usize {
+        self.requests.len()
+    }
+
     /// Replaces the options.
     pub fn set_options(&mut self, options: Options) {
         self.options = options;
--- a/crates/cell/src/requests.rs
+++ b/crates/cell/src/requests.rs
@@ -95,6 +95,11 @@
         self.pending.is_empty()
     }
 
+    /// The number of pending requests.
+    pub fn len(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Adds a request.
     pub fn add(
         &mut self,
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -77,7 +77,12 @@
         };
         let delay_passed = now >= since.saturating_add(SHUTDOWN_DELAY);
         if (delay_passed && host.is_finished()) || now >= since.saturating_add(shutdown_limit) {
-            tracing::info!(is_finished = host.is_finished(), "host exits");
+            tracing::info!(
+                is_finished = host.is_finished(),
+                pending_requests = host.pending_requests(),
+                queued_inputs = inputs.len(),
+                "host exits"
+            );
             return;
         }
     }
