Answer every request before a stopping host ends

Cause: a stopping host held each request for 0.9 s in the hope of a decider, and its event loop ended at its limit whether or not requests waited. A call that came after that went to a queue that nobody read.

Change: the deadline belongs to the host's state machine. A stopping host that has seen no decider for 0.9 s rejects requests at once, passes on none in its last 0.4 s, and responds to all when its time is up: rejected if never forwarded, otherwise with an unknown outcome, because the job may be stored. The event loop ends when its queue is empty, the server rejects later calls itself, and connections get up to 0.4 s to write their answers.

--- a/crates/cell/src/host/caller_requests.rs
+++ b/crates/cell/src/host/caller_requests.rs
@@ -19,7 +19,7 @@
     pub(super) fn is_ready_for_callers(&self, now: time::Duration) -> bool {
         let has_decider = self.has_decider()
             || now <= self.disconnected_at.saturating_add(READY_WHILE_DISCONNECTED);
-        !self.is_stopping
+        !self.is_shutting_down()
             && self.declaration.version > 0
             && self.is_recent(now, self.operators.as_of(), self.options.max_declaration_age())
             && self.cell_state.decider.is_some()
@@ -176,6 +176,9 @@
                 DeciderRequest::Submit(spec)
             }
         };
+        if let Some(reason) = self.reason_to_decline(now) {
+            return Some(self.decline(now, &request, false, reason));
+        }
         self.requests.add(now, ticket, request, caller_request.timeout, &self.options);
         None
     }
@@ -196,7 +199,11 @@
     }
 
     /// Serves a read-only request from this host's own state.
-    fn serve_read(&self, now: time::Duration, request: &DeciderRequest) -> CallerResponse {
+    pub(super) fn serve_read(
+        &self,
+        now: time::Duration,
+        request: &DeciderRequest,
+    ) -> CallerResponse {
         let has_recent_state = self.has_recent_state(now);
         match request {
             DeciderRequest::CountPending(queue) if has_recent_state => {
--- a/crates/cell/src/host/claim.rs
+++ b/crates/cell/src/host/claim.rs
@@ -110,7 +110,7 @@
 
     /// Claims the decider role when the log has had no new record for long enough.
     pub(super) fn claim_if_due(&mut self, now: time::Duration, effects: &mut Vec<Effect>) {
-        if !matches!(self.role, Role::Following) || self.is_stopping {
+        if !matches!(self.role, Role::Following) || self.is_shutting_down() {
             return;
         }
         // A decider needs a declaration.
@@ -207,7 +207,7 @@
         // claim counts.
         let is_new =
             self.cell_state.decider.as_ref().is_some_and(|logged| logged.token > self.last_token);
-        if is_own_claim && is_new && !self.is_decider() && !self.is_stopping {
+        if is_own_claim && is_new && !self.is_decider() && !self.is_shutting_down() {
             let confirmed_at = self.cell.as_of().unwrap_or_default();
             self.start_deciding(now, wall_ms, end, confirmed_at, effects);
         }
@@ -338,14 +338,4 @@
             decider.on_peer_disconnected(context, host);
         });
     }
-
-    /// Stops accepting callers and resigns the decider role.
-    pub(super) fn on_shutdown(&mut self) {
-        tracing::info!(is_decider = self.is_decider(), "shutting down the host");
-        self.is_stopping = true;
-        let release = self.identity.to_claim(true);
-        if let Role::Deciding(decider) = &mut self.role {
-            decider.release(release);
-        }
-    }
 }
--- a/crates/cell/src/host/mod.rs
+++ b/crates/cell/src/host/mod.rs
@@ -23,6 +23,7 @@
 mod claim;
 mod observe;
 mod peers;
+mod shutdown;
 
 /// How long the host accepts new callers after the connection to the decider was lost. A change of
 /// the decider completes within this time.
@@ -126,7 +127,7 @@
     /// The fencing token of this host's latest term as decider.
     last_token: u64,
     is_ready: bool,
-    is_stopping: bool,
+    shutdown_began_at: Option<time::Duration>,
 }
 
 impl Host {
@@ -162,7 +163,7 @@
             announcement: None,
             last_token: 0,
             is_ready: false,
-            is_stopping: false,
+            shutdown_began_at: None,
             options,
             identity,
         }
@@ -182,11 +183,6 @@
         }
     }
 
-    /// Whether the host has finished its shutdown: no caller waits and it is not the decider.
-    pub fn is_finished(&self) -> bool {
-        self.is_stopping && self.requests.is_empty() && !self.is_decider()
-    }
-
     /// The number of callers' requests that wait for a response.
     pub fn pending_requests(&self) -> usize {
         self.requests.len()
@@ -217,6 +213,7 @@
         let mut due_at = now.saturating_add(MAX_SLEEP);
         due_at = due_at.min(self.requests.due_at(now, self.has_decider()));
         due_at = due_at.min(self.forward_again_at.unwrap_or(due_at));
+        due_at = due_at.min(self.shutdown_due_at(now).unwrap_or(due_at));
         due_at = due_at.min(self.operators.due_at().unwrap_or(due_at));
         match &self.role {
             Role::Deciding(decider) => {
@@ -256,7 +253,7 @@
             Event::CallerRequest { ticket, request } => {
                 self.on_caller_request(now, wall_ms, ticket, *request, effects)
             }
-            Event::Shutdown => self.on_shutdown(),
+            Event::Shutdown => self.on_shutdown(now),
             Event::PeerDisconnected { host } => {
                 self.on_peer_disconnected(now, wall_ms, &host, effects)
             }
@@ -360,6 +357,7 @@
         }
         self.forward_requests(now, wall_ms, effects);
         self.serve_overdue_reads(now, effects);
+        self.decline_on_shutdown(now, effects);
         let has_decider = self.has_decider();
         let is_isolated = self.is_isolated(now);
         for (ticket, response) in self.requests.expire(now, has_decider, is_isolated, &self.options)
--- a/crates/cell/src/options.rs
+++ b/crates/cell/src/options.rs
@@ -70,6 +70,8 @@
     pub default_caller_timeout: time::Duration,
     /// How long before the caller's timeout the response is sent.
     pub response_margin: time::Duration,
+    /// How long after the start of a shutdown every caller has a response and the process ends.
+    pub shutdown_timeout: time::Duration,
     /// The default retry delay for callers whose request is rejected.
     pub retry_after: time::Duration,
     /// The greatest number of waiting jobs; further submissions are rejected.
@@ -140,6 +142,7 @@
             poll_retry_delay: millis(250),
             default_caller_timeout: millis(3_000),
             response_margin: millis(200),
+            shutdown_timeout: millis(5_500),
             retry_after: millis(1_000),
             max_waiting_jobs: 2_000,
             max_record_bytes: 262_144,
--- a/crates/cell/src/requests.rs
+++ b/crates/cell/src/requests.rs
@@ -13,7 +13,7 @@
 
 /// How long a request waits while no decider is known or connected. A change of the decider takes
 /// about this long; after that, another host can serve the caller sooner.
-const DECIDER_WAIT: time::Duration = time::Duration::from_millis(900);
+pub(crate) const DECIDER_WAIT: time::Duration = time::Duration::from_millis(900);
 
 /// How long a read-only request waits for the decider.
 const READ_TIMEOUT: time::Duration = time::Duration::from_millis(400);
@@ -144,6 +144,16 @@
         forwarded
     }
 
+    /// Removes and returns all requests, and whether each has been forwarded.
+    pub fn take_all(&mut self) -> Vec<(ids::Ticket, DeciderRequest, bool)> {
+        self.forwards.clear();
+        let mut taken = Vec::with_capacity(self.pending.len());
+        for (ticket, pending) in std::mem::take(&mut self.pending) {
+            taken.push((ticket, pending.request, pending.forwarded_to.is_some()));
+        }
+        taken
+    }
+
     fn remove(&mut self, ticket: ids::Ticket) -> Option<PendingRequest> {
         let pending = self.pending.remove(&ticket)?;
         for forward in &pending.forwards {
--- a/crates/cell/tests/sim/hosts.rs
+++ b/crates/cell/tests/sim/hosts.rs
@@ -64,6 +64,22 @@
         }
     }
 
+    /// Tells a host's process to shut down.
+    pub fn shut_down_host(&mut self, index: usize) {
+        self.send_event(index, 1, Event::Shutdown);
+    }
+
+    /// Ends the process of a host that has finished its shutdown.
+    pub(super) fn end_process(&mut self, index: usize) {
+        let process = self.hosts[index].process.as_ref();
+        let pending = process.map_or(0, Host::pending_requests);
+        if pending > 0 {
+            let broken = format!("{} ms: a process ended with {pending} requests", self.now_ms);
+            self.observed.violations.push(broken);
+        }
+        self.kill_host(index);
+    }
+
     /// Breaks the host's connection to the decider. The host reconnects after a delay.
     pub fn break_connection(&mut self, index: usize) {
         if let Some(to) = self.hosts[index].connected_to {
--- a/crates/cell/tests/sim/mod.rs
+++ b/crates/cell/tests/sim/mod.rs
@@ -374,6 +374,7 @@
         let sleep = process.time_until_due(now).max(time::Duration::from_millis(1));
         host.wake_at_ms = self.now_ms + u64::try_from(sleep.as_millis()).unwrap_or(1).max(1);
         let process_number = host.process_number;
+        let is_finished = process.is_finished(now);
         for effect in effects {
             let range = match &effect {
                 Effect::Read { .. } | Effect::Append { .. } => self.store_ms.clone(),
@@ -385,6 +386,9 @@
                 Scheduled::Effect { host: index, process_number, effect: Box::new(effect) },
             );
         }
+        if is_finished {
+            self.end_process(index);
+        }
     }
 
     /// The eligible workers among the named ones with their tickets, and how long the adviser takes.
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -1,7 +1,6 @@
 //! The event loop of a host.
 
 use std::sync;
-use std::time;
 
 use pier_cell::effect::Effect;
 use pier_cell::event::Event;
@@ -12,10 +11,6 @@
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 
-/// The minimum time between a shutdown event and the end of the event loop, in which the load
-/// balancer notices that the host shuts down.
-const SHUTDOWN_DELAY: time::Duration = time::Duration::from_millis(2_500);
-
 /// Executes the effects that concern systems outside the cell.
 pub trait EffectExecutor {
     /// Starts to execute an effect. Its result arrives as an event.
@@ -31,8 +26,7 @@
     Options(Box<Options>),
 }
 
-/// Runs a host until a shutdown was requested and its callers have been answered, or until
-/// `shutdown_limit` has passed since the request.
+/// Runs a host until it has finished its shutdown and no input is left.
 pub async fn run(
     mut host: Host,
     clock: &dyn Clock,
@@ -40,9 +34,7 @@
     executor: &dyn EffectExecutor,
     peers: &Peers,
     metrics: &sync::Arc<Metrics>,
-    shutdown_limit: time::Duration,
 ) {
-    let mut shutdown_began = None;
     loop {
         let now = clock.now();
         let input = tokio::time::timeout(host.time_until_due(now), inputs.recv_async()).await;
@@ -57,9 +49,6 @@
             Err(_) => Event::Tick,
         };
         let now = clock.now();
-        if matches!(event, Event::Shutdown) {
-            shutdown_began.get_or_insert(now);
-        }
         let effects = host.apply(now, clock.wall_ms(), event);
         for effect in effects {
             match effect {
@@ -72,15 +61,11 @@
         if let Some(report) = host.take_load_report() {
             metrics.record_load(&report);
         }
-        let Some(since) = shutdown_began else {
-            continue;
-        };
-        let delay_passed = now >= since.saturating_add(SHUTDOWN_DELAY);
-        if (delay_passed && host.is_finished()) || now >= since.saturating_add(shutdown_limit) {
+        // Requests in the queue still get responses.
+        if host.is_finished(now) && inputs.is_empty() {
             tracing::info!(
-                is_finished = host.is_finished(),
+                is_decider = host.is_decider(),
                 pending_requests = host.pending_requests(),
-                queued_inputs = inputs.len(),
                 "host exits"
             );
             return;
