Answer open requests when the shutdown of pierd is cut short

Cause: `shut_down` returned at its time limit, and the runtime dropped the requests that waited for an answer.

Change: at the time limit, 0.4 s of which are kept for that, the requests get the answer `unknown` that a request without a result gets anyway. A second signal still ends the process at once.

Measured: `a_shutdown_that_is_cut_short_answers_open_requests` got an empty answer before and passes now, with the exit code 3 as documented.

--- a/bins/pierd/src/daemon.rs
+++ b/bins/pierd/src/daemon.rs
@@ -14,6 +14,8 @@
 
 /// How long answers that are ready may still be written after the control state has drained.
 const FLUSH_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+/// The same for the answers to requests that are given up when the time limit has passed.
+const GIVE_UP_FLUSH_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 /// How long to wait for the threads of the runtime to exit.
 const RUNTIME_SHUTDOWN_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
@@ -145,7 +147,8 @@
     // The order of the steps avoids refused requests: load balancers first see that the host is
     // not ready, then new connections are refused, then workers are handed over.
     fn shut_down(self, signals: &flume::Receiver<i32>) -> ExitReason {
-        let deadline = time::Instant::now() + self.settings.state.drain_limit;
+        let time_limit = self.settings.state.drain_limit.saturating_sub(GIVE_UP_FLUSH_TIMEOUT);
+        let deadline = time::Instant::now() + time_limit;
         tracing::info!("shutdown started; new connections are still served");
         self.caller_server.drain();
         if signals.recv_timeout(self.settings.callers.drain_grace).is_ok() {
@@ -157,14 +160,17 @@
         }
         tracing::info!("refusing new connections and handing work over");
         let remaining = deadline.saturating_duration_since(time::Instant::now());
-        let reason = flume::Selector::new()
+        let ended = flume::Selector::new()
             .recv(&self.exit_receiver, |exit| match exit {
                 Ok(()) => ExitReason::Drained,
                 Err(_) => ExitReason::Failed,
             })
             .recv(signals, |_| ExitReason::CutShort)
-            .wait_timeout(remaining)
-            .unwrap_or(ExitReason::CutShort);
+            .wait_timeout(remaining);
+        let Ok(reason) = ended else {
+            self.give_up_requests();
+            return ExitReason::CutShort;
+        };
         if reason != ExitReason::Drained {
             return reason;
         }
@@ -185,4 +191,17 @@
         self.runtime.shutdown_timeout(RUNTIME_SHUTDOWN_TIMEOUT);
         ExitReason::Drained
     }
+
+    /// Answers the requests that are still open when the time limit of the shutdown has passed.
+    fn give_up_requests(&self) {
+        let requests = self.caller_server.requests();
+        tracing::warn!(requests, "the time limit of the shutdown has passed; giving up requests");
+        self.caller_server.give_up_requests();
+        self.runtime.block_on(async {
+            let closed = self.caller_server.closed();
+            if tokio::time::timeout(GIVE_UP_FLUSH_TIMEOUT, closed).await.is_err() {
+                tracing::warn!("closing connections that are still open after the flush timeout");
+            }
+        });
+    }
 }
--- a/bins/pierd/tests/end_to_end.rs
+++ b/bins/pierd/tests/end_to_end.rs
@@ -43,6 +43,11 @@
 
 impl TestCell {
     fn start() -> Self {
+        Self::start_with(10_000)
+    }
+
+    /// Starts a cell whose hosts shut down within this time.
+    fn start_with(drain_limit_ms: u64) -> Self {
         let (callers, peers) = (unused_address(), unused_address());
         let text = format!(
             r#"{{
@@ -64,7 +69,7 @@
                 caller_address: "{callers}", peer_address: "{peers}",
                 log_url: "http://{platform}", host_list_url: "http://{platform}",
                 peer_token: "secret-of-the-test-cell", operator_token_sha256: ["{hash}"],
-                callers: {{ drain_grace_ms: 300 }}, state: {{ drain_limit_ms: 10000 }},
+                callers: {{ drain_grace_ms: 300 }}, state: {{ drain_limit_ms: {drain_limit_ms} }},
             }}"#
         );
         fs::write(&file, text).expect("the settings are written");
@@ -88,6 +93,25 @@
         }
     }
 
+    /// Tells the host to shut down.
+    fn terminate(&self) {
+        let pid = self.host.child.id().to_string();
+        let sent = process::Command::new("kill").args(["-TERM", &pid]).status();
+        assert!(sent.expect("kill runs").success());
+    }
+
+    /// Waits for the end of the host's process.
+    fn exit_code(&mut self) -> Option<i32> {
+        let deadline = time::Instant::now() + WAIT_LIMIT;
+        loop {
+            if let Some(status) = self.host.child.try_wait().expect("the host can be waited for") {
+                return status.code();
+            }
+            assert!(time::Instant::now() < deadline, "the host does not end");
+            thread::sleep(time::Duration::from_millis(20));
+        }
+    }
+
     /// Applies a declaration with one urgent queue.
     fn apply(&self) {
         let hash = keys::KeyHash::of(KEY).to_hex();
@@ -205,23 +229,32 @@
     thread::scope(|scope| {
         let open = scope.spawn(|| cell.request(KEY, r#"{"run_ms":1500}"#));
         thread::sleep(time::Duration::from_millis(200));
-        let pid = cell.host.child.id().to_string();
-        let sent = process::Command::new("kill").args(["-TERM", &pid]).status();
-        assert!(sent.expect("kill runs").success());
+        cell.terminate();
         thread::sleep(time::Duration::from_millis(100));
         let readiness = cell.get("/readyz").expect("still served");
         assert!(readiness.starts_with("HTTP/1.1 503"), "{readiness}");
         let answer = open.join().expect("the caller does not panic").expect("an answer");
         assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     });
-    let deadline = time::Instant::now() + WAIT_LIMIT;
-    let code = loop {
-        if let Some(status) = cell.host.child.try_wait().expect("the host can be waited for") {
-            break status.code();
-        }
-        assert!(time::Instant::now() < deadline, "the host does not end");
-        thread::sleep(time::Duration::from_millis(20));
-    };
-    assert_eq!(code, Some(0));
+    assert_eq!(cell.exit_code(), Some(0));
+    drop(cell.standin);
+}
+
+/// Guards against a shutdown that closes the connections of requests which have no answer when its
+/// time limit has passed.
+#[test]
+fn a_shutdown_that_is_cut_short_answers_open_requests() {
+    let mut cell = TestCell::start_with(1_500);
+    cell.wait_until_ready();
+    cell.apply();
+    cell.request_until("200", "{}");
+    thread::scope(|scope| {
+        let open = scope.spawn(|| cell.request(KEY, r#"{"run_ms":20000}"#));
+        thread::sleep(time::Duration::from_millis(200));
+        cell.terminate();
+        let answer = open.join().expect("the caller does not panic").expect("an answer");
+        assert!(answer.contains(r#""outcome":"unknown""#), "{answer:?}");
+    });
+    assert_eq!(cell.exit_code(), Some(3));
     drop(cell.standin);
 }
--- a/crates/front/src/pending.rs
+++ b/crates/front/src/pending.rs
@@ -43,6 +43,11 @@
         self.lock().remove(&ticket).is_some()
     }
 
+    /// Removes all requests. Their receivers learn that no answer comes.
+    pub fn clear(&self) {
+        self.lock().clear();
+    }
+
     /// The number of waiting requests.
     pub fn len(&self) -> usize {
         self.lock().len()
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -119,6 +119,12 @@
         self.advance_stage(ShutdownStage::Closing);
     }
 
+    /// Answers all requests that wait: their outcomes are unknown. For a shutdown whose time limit
+    /// has passed.
+    pub fn give_up_requests(&self) {
+        self.shared.pending.clear();
+    }
+
     /// Waits until no connection is open.
     pub async fn closed(&self) {
         while self.shared.table.open() > 0 {
