Start a task that is larger than its account's lowered limit

Cause: a task starts only within what is left of the limit, which a larger task never is; only submissions are checked against the limit as a whole.

Change: while the account uses at most half of its limit, one task larger than the limit may start.

`a_task_that_is_larger_than_a_lowered_limit_runs_alone` fails without the change (0 starts in place of 1) and passes with it; all tests of pier-cell pass.

--- a/crates/cell/src/decider/adviser.rs
+++ b/crates/cell/src/decider/adviser.rs
@@ -52,7 +52,7 @@
             let Some((queue, terms)) = queue.and_then(|queue| Some((queue, queue.advice?))) else {
                 continue;
             };
-            let limit = self.account_left(context, &candidate.spec);
+            let limit = self.account_left(context, candidate);
             if context.options.load.gangs {
                 self.advise_on_submit(context, candidate, queue, terms, &limit);
                 continue;
--- a/crates/cell/src/decider/forecast_build.rs
+++ b/crates/cell/src/decider/forecast_build.rs
@@ -85,7 +85,7 @@
             }
             let since = self.waiting_since.get(&candidate.key()).copied().unwrap_or(context.now);
             if context.now >= since.saturating_add(MIN_WAIT_FOR_FULL)
-                && step.need.fits_in(&self.account_left(context, &candidate.spec))
+                && step.need.fits_in(&self.account_left(context, candidate))
             {
                 full.insert(ServiceId::clone(&queue.service));
             }
--- a/crates/cell/src/decider/gangs.rs
+++ b/crates/cell/src/decider/gangs.rs
@@ -407,7 +407,7 @@
         }
         reservation.urgency = urgency(candidate);
         reservation.is_restarting = false;
-        let limit = self.account_left(context, &candidate.spec);
+        let limit = self.account_left(context, candidate);
         if place::fit_count(&candidate.step().need, &limit) < candidate.waiting.len() {
             // Reserved workers would be of no use now. The gang keeps its place.
             reservation.slots.clear();
--- a/crates/cell/src/decider/schedule.rs
+++ b/crates/cell/src/decider/schedule.rs
@@ -84,7 +84,7 @@
             let Some(queue) = context.declaration.queue(&candidate.spec.queue) else {
                 continue;
             };
-            let mut limit = self.account_left(context, &candidate.spec);
+            let mut limit = self.account_left(context, candidate);
             if let Some(account) = &candidate.spec.account
                 && let Some(reservation) = limit_reservations.get(account)
             {
@@ -346,15 +346,25 @@
         left.minus(&used)
     }
 
-    pub(super) fn account_left(&self, context: &Context<'_>, spec: &JobSpec) -> Resources {
+    /// The resources that the candidate may use within its account's limit. A single task may exceed
+    /// a limit that was lowered below its size since it was accepted, while the account uses at most
+    /// half of the limit: it would wait for good otherwise.
+    pub(super) fn account_left(&self, context: &Context<'_>, candidate: &Candidate) -> Resources {
+        let spec = &candidate.spec;
         let Some(name) = &spec.account else {
             return Resources::MAX;
         };
         let Some(account) = context.declaration.account(name) else {
             return Resources::ZERO;
         };
-        let held = self.reclaim.held_of_limit(name, spec);
-        account.cap.minus(&self.shares.used(name)).minus(&held)
+        let used = self.shares.used(name).plus(&self.reclaim.held_of_limit(name, spec));
+        let step = candidate.step();
+        let is_single = !step.gang || step.tasks == 1;
+        if is_single && !step.need.fits_in(&account.cap) && used.fits_in(&account.cap.scaled(1, 2))
+        {
+            return step.need;
+        }
+        account.cap.minus(&used)
     }
 
     fn assign(
--- a/crates/cell/tests/decider.rs
+++ b/crates/cell/tests/decider.rs
@@ -468,6 +468,49 @@
     assert_eq!(fixture.start_count, 3, "an end makes room for one more");
 }
 
+/// Guards against accepted work that neither runs nor ends because its account's limit was lowered
+/// below the size of a task (review/12), and against more of it than one task at a time.
+#[test]
+fn a_task_that_is_larger_than_a_lowered_limit_runs_alone() {
+    let mut fixture = Fixture::new(queue(None));
+    fixture.list_workers(&["w0", "w1"]);
+    fixture.submit(single_step(2, false));
+    let account = Account { cap: cores(3), ..fixture.declaration.accounts[0].clone() };
+    fixture.declare(&Declaration::new(2, vec![queue(None)], vec![account], 100_000));
+    let mut running: Vec<ListedRun> = Vec::new();
+    for ended in 0_u64..=2 {
+        for _ in 0..4 {
+            let effects = fixture.advance(50);
+            let sent = fixture.complete_appends(&effects);
+            for effect in effects.iter().chain(&sent) {
+                let Some((_, WorkerOperation::Start(start))) = worker_call(effect) else {
+                    continue;
+                };
+                let (task, number) = (start.task.clone(), start.number);
+                running.push(ListedRun { task, number, checkpoint: None, percent: None });
+            }
+        }
+        assert_eq!(fixture.start_count as u64, 2.min(ended + 1), "after {ended} ends");
+        let Some(run) = running.pop() else {
+            break;
+        };
+        let phase = &fixture.cell_state.live["job"].progress.steps[0][run.task.index].phase;
+        let pier_cell::progress::Phase::Assigned { worker, .. } = phase.clone() else {
+            panic!("the task runs: {phase:?}");
+        };
+        let end = ListedEnd {
+            sequence: ended + 1,
+            task: Some(run.task),
+            number: run.number,
+            kind: Some(EndKind::Done),
+            checkpoint: None,
+        };
+        let now = fixture.now;
+        fixture.report_poll(&worker, now, Vec::new(), vec![end]);
+    }
+    assert_eq!(fixture.state(), Some(JobState::Completed));
+}
+
 /// Guards against start requests in a zone that operators took out of service, including runs that
 /// were decided just before.
 #[test]
