Find the jobs of a queue that an open one has replaced at the same path

Cause: whether a caller without a key may see a job of an account was decided by the name of the queue in the newest declaration. Change: queues at the same host and path count as the same there; the log has the terms of both, and keeps them while jobs are shown.

Measured: `a_job_of_a_replaced_queue_is_found_at_the_same_path` got UnknownJob in place of Running at the first host without the change, and passes with it.

--- a/crates/cell/src/cell_state.rs
+++ b/crates/cell/src/cell_state.rs
@@ -125,12 +125,14 @@
     /// Whether the job with this id belongs to another account than the requester's. An id that is
     /// not known belongs to nobody.
     pub fn belongs_to_another(&self, id: &str, requester: &Requester) -> bool {
-        if let Some(job) = self.live.get(id) {
-            return !requester.may_access(&job.spec.queue, job.spec.account.as_ref());
-        }
-        self.ended
-            .get(id)
-            .is_some_and(|job| !requester.may_access(&job.queue, job.account.as_ref()))
+        let (queue, account) = match (self.live.get(id), self.ended.get(id)) {
+            (Some(job), _) => (&job.spec.queue, &job.spec.account),
+            (None, Some(job)) => (&job.queue, &job.account),
+            (None, None) => return false,
+        };
+        let is_same_queue =
+            requester.queue == *queue || self.terms.are_at_same_path(&requester.queue, queue);
+        !requester.may_access(account.as_ref(), is_same_queue)
     }
 
     /// The number of jobs of a queue that have not begun.
--- a/crates/cell/src/decider/terms.rs
+++ b/crates/cell/src/decider/terms.rs
@@ -19,7 +19,7 @@
             return;
         }
         self.applied_version = context.declaration.version;
-        let CellState { terms, live, .. } = context.cell_state;
+        let CellState { terms, live, ended, .. } = context.cell_state;
         let mut removed_queue_jobs = 0;
         let mut unknown_queue_jobs = 0;
         for job in live.values() {
@@ -29,7 +29,7 @@
                 removed_queue_jobs += 1;
             }
         }
-        let changed = terms.update(context.declaration, live.values());
+        let changed = terms.update(context.declaration, live, ended);
         tracing::info!(
             version = self.applied_version,
             changed = changed.len(),
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -104,14 +104,15 @@
 }
 
 impl Requester {
-    /// Whether it may see and change a job of this queue and account.
-    pub fn may_access(&self, queue: &str, account: Option<&AccountId>) -> bool {
+    /// Whether it may see and change a job of this account. `is_same_queue` tells whether the job's
+    /// queue is the one that the requester's path names, or was replaced by that one.
+    pub fn may_access(&self, account: Option<&AccountId>, is_same_queue: bool) -> bool {
         match (account, &self.account) {
             // The job was submitted to an open queue.
             (None, _) => true,
             (Some(owner), Some(account)) => owner == account,
             // The job's queue has been opened since.
-            (Some(_), None) => *self.queue == *queue,
+            (Some(_), None) => is_same_queue,
         }
     }
 }
--- a/crates/cell/src/terms.rs
+++ b/crates/cell/src/terms.rs
@@ -11,7 +11,7 @@
 use crate::cell_state::LiveJob;
 use crate::declaration::{Account, Declaration, Queue};
 use crate::job::AccountId;
-use crate::record::Record;
+use crate::record::{EndedJob, Record};
 
 /// The terms that the cell's log has.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -23,19 +23,14 @@
 }
 
 impl Terms {
-    /// Updates the terms to those of a declaration. Removed queues and accounts are kept while one
-    /// of the jobs uses them. Returns the records of what has changed.
-    pub fn update<'a>(
+    /// Updates the terms to those of a declaration. Those of removed queues and accounts are kept
+    /// while jobs use them. Returns the records of what has changed.
+    pub fn update(
         &mut self,
         declaration: &Declaration,
-        jobs: impl Iterator<Item = &'a LiveJob>,
+        live: &BTreeMap<ids::JobId, LiveJob>,
+        ended: &BTreeMap<ids::JobId, EndedJob>,
     ) -> Vec<Record> {
-        let mut used_queues = BTreeSet::new();
-        let mut used_accounts = BTreeSet::new();
-        for job in jobs {
-            used_queues.insert(&job.spec.queue);
-            used_accounts.extend(&job.spec.account);
-        }
         let mut records = Vec::new();
         for queue in &declaration.queues {
             if self.queues.get(&queue.name) != Some(queue) {
@@ -50,6 +45,16 @@
                 self.accounts.insert(AccountId::clone(&account.name), account);
             }
         }
+        let mut used_queues = BTreeSet::new();
+        let mut used_accounts = BTreeSet::new();
+        for job in live.values() {
+            used_queues.insert(&job.spec.queue);
+            used_accounts.extend(&job.spec.account);
+        }
+        // Callers still ask for the states of these.
+        for job in ended.values() {
+            used_queues.insert(&job.queue);
+        }
         self.queues.retain(|name, _| {
             let is_kept = declaration.declared_queue(name).is_some() || used_queues.contains(name);
             if !is_kept {
@@ -67,4 +72,12 @@
         });
         records
     }
+
+    /// Whether callers reach both queues at the same host and path: one has replaced the other.
+    pub fn are_at_same_path(&self, queue: &str, other: &str) -> bool {
+        let (Some(queue), Some(other)) = (self.queues.get(queue), self.queues.get(other)) else {
+            return false;
+        };
+        queue.host == other.host && queue.path_prefix == other.path_prefix
+    }
 }
--- a/crates/cell/tests/job_accounts.rs
+++ b/crates/cell/tests/job_accounts.rs
@@ -81,6 +81,34 @@
     assert_eq!(sim.observed.starts, 1);
 }
 
+/// Guards against callers who are told that their accepted job does not exist because its queue was
+/// replaced by an open one of another name at the same path.
+#[test]
+fn a_job_of_a_replaced_queue_is_found_at_the_same_path() {
+    let mut sim = cell_with_two_accounts(3);
+    sim.failed_runs_percent = 0;
+    sim.run_ms = 15_000;
+    use_key(&mut sim, Some("key"));
+    sim.submit(0, JOB, "batch", vec![step(1, 1)]);
+    sim.run_for(500);
+    let mut replacement = sim::queue("replacement", 1, 3);
+    replacement.path_prefix = "/batch/".into();
+    replacement.is_public = true;
+    let accounts = sim.declaration.accounts.clone();
+    let queues = vec![sim::queue("urgent", 0, 3), replacement];
+    sim.declare(Declaration::new(3, queues, accounts, 100_000));
+    sim.run_for(2_000);
+    use_key(&mut sim, None);
+    for expected in [JobState::Running, JobState::Completed] {
+        for host in 0..4 {
+            let shown = sim.show_for(host, JOB, "batch", 1_000);
+            assert_eq!(shown, Some(CallerResponse::State(expected)), "host {host}");
+        }
+        sim.run_for(15_000);
+    }
+    check_hidden(&mut sim, Some("other key"), "urgent");
+}
+
 /// Guards against an account that keeps another one from submitting a job by cancelling its id
 /// before. The account that has cancelled the id itself still cannot submit it.
 #[test]
