--- a/crates/cell/src/host/shutdown.rs
+++ b/crates/cell/src/host/shutdown.rs
@@ -100,14 +100,13 @@
     /// Responds to all requests if the time of the shutdown is up, or if no decider is expected.
     pub(super) fn decline_on_shutdown(&mut self, now: time::Duration, effects: &mut Vec<Effect>) {
         let is_without_decider = self.gives_up_waiting_at().is_some_and(|at| now >= at);
-        if self.requests.is_empty()
-            || !(is_without_decider || self.is_time_up(now, time::Duration::ZERO))
-        {
+        let is_due = is_without_decider || self.is_time_up(now, time::Duration::ZERO);
+        let Some(reason) = self.reason_to_decline(now) else {
+            return;
+        };
+        if !is_due || self.requests.is_empty() {
             return;
         }
-        let reason = self
-            .reason_to_decline(now)
-            .unwrap_or(("the host is shutting down", time::Duration::ZERO));
         let requests = self.requests.take_all();
         tracing::info!(
             requests = requests.len(),
